--- /dev/null
+++ b/Makefile
@@ -0,0 +1,52 @@
+# The usual commands; meson does the work. SEED and CASE go to proofs and
+# benches: make proof SEED=7 CASE=memory
+BUILD ?= build
+SEED ?=
+CASE ?=
+
+.PHONY: all setup build check demo proof bench bench-path slopes lint format \
+	sanitize clean
+
+all: build
+
+setup:
+	@tools/setup
+
+build: setup
+	@[ -d $(BUILD) ] || meson setup $(BUILD) >/dev/null
+	@ninja -C $(BUILD) --quiet
+
+check: build
+	@meson test -C $(BUILD) --print-errorlogs
+
+demo: build
+	@tests/demo/run $(BUILD)
+
+proof: build
+	@tests/proof/run --build $(BUILD) $(if $(SEED),--seed $(SEED)) \
+		$(if $(CASE),--case $(CASE))
+
+bench: build
+	@bench/run $(BUILD) $(SEED)
+
+bench-path: build
+	@bench/path/run $(BUILD)
+
+slopes: build
+	@bench/slopes/run $(BUILD)
+
+lint: build
+	@tools/lint $(BUILD)
+
+format:
+	@git ls-files -co --exclude-standard '*.c' '*.h' | grep -v /gen/ | \
+		xargs clang-format -i
+
+sanitize: setup
+	@[ -d $(BUILD)-asan ] || meson setup $(BUILD)-asan \
+		-Db_sanitize=address,undefined -Db_lundef=false >/dev/null
+	@ninja -C $(BUILD)-asan --quiet
+	@meson test -C $(BUILD)-asan --print-errorlogs
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
--- /dev/null
+++ b/include/bk/claim/claim.h
@@ -0,0 +1,106 @@
+/*
+ * claim - at most once for calls that may not be repeated
+ *
+ * Pure. A row per (caller, key) in the table "claims". The row is written
+ * before the first byte goes to an upstream, by a nonce of the claiming
+ * request; whoever finds somebody else's row does not send.
+ *
+ *   absent --claim--> claimed --record--> done
+ *                     claimed --release--> free --claim--> claimed
+ *
+ * release is allowed only when nothing was put on any wire. A claimed row
+ * whose entry died stays claimed: its outcome is unknown until its
+ * retention ends. Claims and outcomes of many requests share transactions.
+ */
+#ifndef BK_CLAIM_CLAIM_H
+#define BK_CLAIM_CLAIM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bk/base/clock.h"
+#include "bk/base/str.h"
+#include "bk/platform/platform.h"
+
+#define BK_CLAIM_NONCE_BYTES 16
+#define BK_CLAIM_DIGEST_HEX 65 /* 64 digits and a zero byte */
+#define BK_CLAIM_MAX_KEY 128
+#define BK_CLAIM_MAX_OUTCOME (32 * 1024)
+
+typedef enum BkClaimState {
+    BK_CLAIM_ABSENT,
+    BK_CLAIM_CLAIMED,
+    BK_CLAIM_FREE,
+    BK_CLAIM_DONE
+} BkClaimState;
+
+typedef struct BkClaimRow {
+    BkClaimState state;
+    char nonce[BK_CLAIM_NONCE_BYTES * 2 + 1];
+    char request[BK_CLAIM_DIGEST_HEX]; /* digest of method, path and body */
+    uint64_t version;                  /* of the table row */
+    int code;                          /* HTTP status of a recorded answer */
+    char *type;                        /* its content type, owned */
+    BkBuf body;
+    bool too_large; /* done, but the answer was not kept */
+} BkClaimRow;
+
+/* What a request may do, given the row that stands under its key. */
+typedef enum BkClaimVerdict {
+    BK_CLAIM_MAY_CLAIM, /* absent or free: write the claim */
+    BK_CLAIM_MINE,      /* this nonce: the claim holds, send */
+    BK_CLAIM_REPLAY,    /* done: answer with the recorded outcome */
+    BK_CLAIM_BUSY,      /* somebody else's: BK_EINPROGRESS, do not send */
+    BK_CLAIM_REUSED     /* other request under the same key: BK_EKEYREUSED */
+} BkClaimVerdict;
+
+BkClaimVerdict BkClaim_Judge(const BkClaimRow *row, const char *nonce,
+                             const char *request);
+
+/* Row key of a caller's key: 64 hex digits and a zero byte. */
+void BkClaim_RowKey(BkStr caller, BkStr key, char *hex);
+
+/* Digest of a request, in the same form. */
+void BkClaim_RequestDigest(BkStr method, BkStr path, BkStr body, char *hex);
+
+void BkClaim_Encode(const BkClaimRow *row, BkBuf *out);
+/* ERRORS: BK_EDECODE. */
+BkStatus BkClaim_Decode(BkClaimRow *row, BkStr json, uint64_t version);
+void BkClaim_Clear(BkClaimRow *row);
+
+/*
+ * The batcher: while one transaction is in flight the next ones collect.
+ * A conflict of one claim does not hurt the others: they go again without
+ * it. An unknown outcome is resolved by reading the rows back.
+ */
+typedef struct BkClaimBook BkClaimBook;
+
+/* verdict: of a claim; a claim that was written gives BK_CLAIM_MINE. row is
+ * valid during the callback. status: BK_OK, or BK_EPLATFORM when it is
+ * certain or must be assumed that the platform cannot be asked: then
+ * nothing may be sent. */
+typedef void (*BkClaimFn)(BkStatus status, BkClaimVerdict verdict,
+                          const BkClaimRow *row, void *arg);
+
+BkClaimBook *BkClaimBook_Create(BkLoop *loop, BkPlat *plat, BkMs patience);
+void BkClaimBook_Destroy(BkClaimBook *book);
+
+/* Claims; fn is called once, within patience. Returns a handle for Cancel. */
+typedef struct BkClaimWish BkClaimWish;
+BkClaimWish *BkClaimBook_Claim(BkClaimBook *book, const char *row_key,
+                               const char *nonce, const char *request,
+                               BkClaimFn fn, void *arg);
+void BkClaimBook_Cancel(BkClaimWish *wish);
+
+/* Records an outcome; retried in the background until it is written. */
+void BkClaimBook_Record(BkClaimBook *book, const char *row_key,
+                        const BkClaimRow *done);
+
+/* Gives a claim back; only when nothing was put on a wire. */
+void BkClaimBook_Release(BkClaimBook *book, const char *row_key,
+                         const char *nonce);
+
+/* Outcomes not yet written; a planned stop waits for 0. */
+int BkClaimBook_Pending(const BkClaimBook *book);
+
+#endif
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,81 @@
+#include "bk/base/log.h"
+
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/clock.h"
+
+enum {
+    MESSAGE_BYTES = 1024,
+    STAMP_BYTES = 32
+};
+
+static const char *const severities[] = {
+    "emerg", "alert", "crit", "err", "warning", "notice", "info", "debug",
+};
+
+BkLogLevel bk_log_threshold = BK_LOG_INFO;
+static char program_name[64] = "bk";
+
+void
+BkLog_Init(const char *program, BkLogLevel level)
+{
+    snprintf(program_name, sizeof(program_name), "%s", program);
+    bk_log_threshold = level;
+}
+
+int
+BkLog_ParseLevel(const char *name)
+{
+    for (int i = 0; i <= BK_LOG_DEBUG; i++) {
+        if (strcmp(severities[i], name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* a message may quote bytes of a caller that are not UTF-8 */
+static void
+replace_foreign_bytes(char *text)
+{
+    for (unsigned char *at = (unsigned char *)text; *at != '\0'; at++) {
+        if (*at >= 0x80) {
+            *at = '?';
+        }
+    }
+}
+
+void
+BkLog_Write(BkLogLevel level, const char *slice, const char *request,
+            const char *fmt, ...)
+{
+    char message[MESSAGE_BYTES];
+    char stamp[STAMP_BYTES];
+    va_list args;
+
+    va_start(args, fmt);
+    vsnprintf(message, sizeof(message), fmt, args);
+    va_end(args);
+    replace_foreign_bytes(message);
+    BkClock_Format(BkClock_Wall(), stamp, sizeof(stamp));
+
+    json_t *line =
+        json_pack("{ss ss ss ss}", "at", stamp, "sev", severities[level],
+                  "prog", program_name, "slice", slice);
+    if (request != NULL && request[0] != '\0') {
+        json_object_set_new(line, "req", json_string(request));
+    }
+    json_object_set_new(line, "msg", json_string(message));
+    char *text = json_dumps(line, JSON_COMPACT);
+    json_decref(line);
+    if (text == NULL) {
+        return;
+    }
+    /* one call, so that lines of several processes do not mix */
+    fprintf(stderr, "%s\n", text);
+    free(text);
+}
--- /dev/null
+++ b/src/base/settings.c
@@ -0,0 +1,348 @@
+#include "bk/base/settings.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/ini.h"
+
+enum {
+    MAX_SPECS = 128,
+    REAL_SCALE = 1000,
+    MAX_FILE_BYTES = 256 * 1024
+};
+
+typedef struct Unit {
+    const char *name;
+    uint64_t factor;
+} Unit;
+
+static const Unit time_units[] = {
+    {"ms", 1}, {"s", 1000}, {"min", 60000}, {"h", 3600000}, {"d", 86400000},
+};
+
+static const Unit byte_units[] = {
+    {"B", 1},
+    {"KiB", UINT64_C(1) << 10},
+    {"MiB", UINT64_C(1) << 20},
+    {"GiB", UINT64_C(1) << 30},
+    {"TiB", UINT64_C(1) << 40},
+};
+
+#define COUNT_OF(array) ((int)(sizeof(array) / sizeof((array)[0])))
+
+static BkStatus
+parse_with_unit(BkStr text, const Unit *units, int count, const char *allowed,
+                uint64_t *out)
+{
+    size_t digits = 0;
+    uint64_t number;
+
+    while (digits < text.len && text.ptr[digits] >= '0' &&
+           text.ptr[digits] <= '9') {
+        digits++;
+    }
+    BkStr unit = {text.ptr + digits, text.len - digits};
+    for (int i = 0; i < count && digits > 0; i++) {
+        if (!BkStr_Equal(unit, BkStr_FromC(units[i].name))) {
+            continue;
+        }
+        BkStatus status = BkStr_ToU64((BkStr){text.ptr, digits}, &number);
+        if (status != BK_OK) {
+            return status;
+        }
+        if (number > (uint64_t)INT64_MAX / units[i].factor) {
+            return BkErr_Set(BK_EINVAL, "\"%.*s\" is too large",
+                             BK_STR_ARG(text));
+        }
+        *out = number * units[i].factor;
+        return BK_OK;
+    }
+    return BkErr_Set(BK_EINVAL, "\"%.*s\" is not a number with a unit of %s",
+                     BK_STR_ARG(text), allowed);
+}
+
+BkStatus
+BkSettings_ParseMs(BkStr text, BkMs *out)
+{
+    uint64_t value;
+    BkStatus status = parse_with_unit(text, time_units, COUNT_OF(time_units),
+                                      "ms, s, min, h or d", &value);
+
+    if (status == BK_OK) {
+        *out = (BkMs)value;
+    }
+    return status;
+}
+
+BkStatus
+BkSettings_ParseBytes(BkStr text, uint64_t *out)
+{
+    return parse_with_unit(text, byte_units, COUNT_OF(byte_units),
+                           "B, KiB, MiB, GiB or TiB", out);
+}
+
+BkStatus
+BkSettings_ParseBool(BkStr text, bool *out)
+{
+    if (BkStr_Equal(text, BK_STR("yes"))) {
+        *out = true;
+        return BK_OK;
+    }
+    if (BkStr_Equal(text, BK_STR("no"))) {
+        *out = false;
+        return BK_OK;
+    }
+    return BkErr_Set(BK_EINVAL, "\"%.*s\" is neither yes nor no",
+                     BK_STR_ARG(text));
+}
+
+static bool
+is_ipv4(BkStr host)
+{
+    int parts = 0;
+
+    while (host.len > 0 || parts == 0) {
+        uint64_t value;
+        BkStr part = BkStr_Split(&host, '.');
+        if (BkStr_ToU64(part, &value) != BK_OK || value > 255) {
+            return false;
+        }
+        parts++;
+    }
+    return parts == 4;
+}
+
+BkStatus
+BkSettings_ParseAddr(BkStr text)
+{
+    BkStr port = text;
+    BkStr host = BkStr_Split(&port, ':');
+    uint64_t number;
+
+    if (is_ipv4(host) && BkStr_ToU64(port, &number) == BK_OK &&
+        number <= UINT16_MAX) {
+        return BK_OK;
+    }
+    return BkErr_Set(BK_EINVAL,
+                     "\"%.*s\" is not a numeric address like 10.0.0.1:8080",
+                     BK_STR_ARG(text));
+}
+
+static BkStatus
+check_range(const BkSettingSpec *spec, int64_t value)
+{
+    bool unchecked = spec->min == 0 && spec->max == 0;
+
+    if (unchecked || (value >= spec->min && value <= spec->max)) {
+        return BK_OK;
+    }
+    return BkErr_Set(BK_EINVAL, "%lld is not in %lld to %lld",
+                     (long long)value, (long long)spec->min,
+                     (long long)spec->max);
+}
+
+static BkStatus
+store_real(const BkSettingSpec *spec, BkStr value, double *field)
+{
+    char *copy = BkStr_Dup(value);
+    char *end;
+
+    *field = strtod(copy, &end);
+    bool whole = end != copy && *end == '\0';
+    free(copy);
+    if (!whole) {
+        return BkErr_Set(BK_EINVAL, "\"%.*s\" is not a number",
+                         BK_STR_ARG(value));
+    }
+    bool unchecked = spec->min == 0 && spec->max == 0;
+    double scaled = *field * REAL_SCALE;
+    if (unchecked ||
+        (scaled >= (double)spec->min && scaled <= (double)spec->max)) {
+        return BK_OK;
+    }
+    return BkErr_Set(BK_EINVAL, "%g is not in %g to %g", *field,
+                     (double)spec->min / REAL_SCALE,
+                     (double)spec->max / REAL_SCALE);
+}
+
+static BkStatus
+store_int(const BkSettingSpec *spec, BkStr value, int64_t *field)
+{
+    uint64_t number;
+    BkStatus status = BkStr_ToU64(value, &number);
+
+    if (status != BK_OK) {
+        return status;
+    }
+    if (number > INT64_MAX) {
+        return BkErr_Set(BK_EINVAL, "the number is too large");
+    }
+    *field = (int64_t)number;
+    return check_range(spec, *field);
+}
+
+static BkStatus
+store_value(const BkSettingSpec *spec, BkStr value, char *target)
+{
+    void *field = target + spec->offset;
+    BkStatus status = BK_OK;
+
+    switch (spec->type) {
+    case BK_SET_ADDR:
+        status = BkSettings_ParseAddr(value);
+        if (status != BK_OK) {
+            return status;
+        }
+        /* fall through */
+    case BK_SET_TEXT:
+        *(char **)field = BkStr_Dup(value);
+        return BK_OK;
+    case BK_SET_INT:
+        return store_int(spec, value, field);
+    case BK_SET_MS:
+        status = BkSettings_ParseMs(value, field);
+        return status != BK_OK ? status : check_range(spec, *(BkMs *)field);
+    case BK_SET_BYTES:
+        status = BkSettings_ParseBytes(value, field);
+        return status != BK_OK ? status : check_range(spec, *(int64_t *)field);
+    case BK_SET_BOOL:
+        return BkSettings_ParseBool(value, field);
+    case BK_SET_REAL:
+        return store_real(spec, value, field);
+    }
+    return BK_OK;
+}
+
+typedef struct LoadState {
+    const char *path;
+    const BkSettingSpec *specs;
+    int count;
+    char *target;
+    bool seen[MAX_SPECS];
+} LoadState;
+
+static int
+find_spec(const LoadState *load, const char *section, const char *key)
+{
+    for (int i = 0; i < load->count; i++) {
+        if (strcmp(load->specs[i].section, section) == 0 &&
+            strcmp(load->specs[i].key, key) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+/* appends the keys allowed in a section, or all sections if it has none */
+static void
+list_allowed(const LoadState *load, const char *section, BkBuf *out)
+{
+    bool known = false;
+
+    for (int i = 0; i < load->count; i++) {
+        known |= strcmp(load->specs[i].section, section) == 0;
+    }
+    const char *last = "";
+    for (int i = 0; i < load->count; i++) {
+        const BkSettingSpec *spec = &load->specs[i];
+        if (known && strcmp(spec->section, section) == 0) {
+            BkBuf_Printf(out, " %s", spec->key);
+        }
+        if (!known && strcmp(spec->section, last) != 0) {
+            BkBuf_Printf(out, " [%s]", spec->section);
+            last = spec->section;
+        }
+    }
+}
+
+static BkStatus
+fail_key(const LoadState *load, const BkIniKey *key, const char *why)
+{
+    return BkErr_Set(BK_ECONFIG, "%s:%d: [%s] %s: %s", load->path, key->line,
+                     key->section, key->key, why);
+}
+
+static BkStatus
+take_key(const BkIniKey *key, void *arg)
+{
+    LoadState *load = arg;
+    char why[400];
+    int index = find_spec(load, key->section, key->key);
+
+    if (index < 0) {
+        BkBuf allowed = BkBuf_Make(300);
+        list_allowed(load, key->section, &allowed);
+        snprintf(why, sizeof(why), "unknown; allowed:%s", BkBuf_C(&allowed));
+        BkBuf_Destroy(&allowed);
+        return fail_key(load, key, why);
+    }
+    if (load->seen[index]) {
+        return fail_key(load, key, "given twice");
+    }
+    load->seen[index] = true;
+    const BkSettingSpec *spec = &load->specs[index];
+    if (store_value(spec, BkStr_FromC(key->value), load->target) != BK_OK) {
+        snprintf(why, sizeof(why), "%s (%s)", BkErr_Last(), spec->help);
+        return fail_key(load, key, why);
+    }
+    return BK_OK;
+}
+
+static BkStatus
+apply_fallbacks(LoadState *load)
+{
+    for (int i = 0; i < load->count; i++) {
+        const BkSettingSpec *spec = &load->specs[i];
+        if (load->seen[i]) {
+            continue;
+        }
+        if (spec->fallback == NULL) {
+            return BkErr_Set(BK_ECONFIG, "%s: [%s] %s: missing (%s)",
+                             load->path, spec->section, spec->key, spec->help);
+        }
+        BkStr value = BkStr_FromC(spec->fallback);
+        /* an empty default address means the feature is off */
+        if (spec->type == BK_SET_ADDR && value.len == 0) {
+            *(char **)(load->target + spec->offset) = BkStr_Dup(value);
+            continue;
+        }
+        if (store_value(spec, value, load->target) != BK_OK) {
+            return BkErr_Set(BK_EINTERNAL, "bad default of [%s] %s",
+                             spec->section, spec->key);
+        }
+    }
+    return BK_OK;
+}
+
+BkStatus
+BkSettings_Load(const char *path, const BkSettingSpec *specs, int count,
+                void *target)
+{
+    LoadState load = {path, specs, count, target, {false}};
+    BkBuf text = BkBuf_Make(0);
+
+    if (count > MAX_SPECS) {
+        return BkErr_Set(BK_EINTERNAL, "too many settings");
+    }
+    BkStatus status = BkFile_Read(path, MAX_FILE_BYTES, &text);
+    if (status == BK_OK) {
+        status =
+            BkIni_Parse(path, BkBuf_Str(&text), BK_ECONFIG, take_key, &load);
+    }
+    BkBuf_Destroy(&text);
+    return status != BK_OK ? status : apply_fallbacks(&load);
+}
+
+void
+BkSettings_Destroy(const BkSettingSpec *specs, int count, void *target)
+{
+    for (int i = 0; i < count; i++) {
+        if (specs[i].type == BK_SET_TEXT || specs[i].type == BK_SET_ADDR) {
+            char **field = (char **)((char *)target + specs[i].offset);
+            free(*field);
+            *field = NULL;
+        }
+    }
+}
--- /dev/null
+++ b/tests/unit/script.c
@@ -0,0 +1,85 @@
+#include "script.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static char *
+read_file(const char *name, const char *suffix)
+{
+    char path[512];
+    const char *dir = getenv("BK_SCRIPTS");
+    BkBuf text = BkBuf_Make(0);
+    char chunk[4096];
+    size_t n;
+
+    snprintf(path, sizeof(path), "%s/%s%s", dir == NULL ? "." : dir, name,
+             suffix);
+    FILE *file = fopen(path, "r");
+    ck_assert_msg(file != NULL, "%s cannot be read", path);
+    while ((n = fread(chunk, 1, sizeof(chunk), file)) > 0) {
+        BkBuf_Append(&text, (BkStr){chunk, n});
+    }
+    fclose(file);
+    char *copy = BkStr_Dup(BkBuf_Str(&text));
+    BkBuf_Destroy(&text);
+    return copy;
+}
+
+static void
+run_line(char *line, BkScriptFn fn, BkBuf *out, void *arg)
+{
+    char *words[BK_SCRIPT_MAX_WORDS + 1];
+    char *rest = line;
+    int count = 0;
+
+    BkBuf_Printf(out, "> %s\n", line);
+    while (count < BK_SCRIPT_MAX_WORDS) {
+        char *word = strtok_r(rest, " ", &rest);
+        if (word == NULL) {
+            break;
+        }
+        words[count++] = word;
+    }
+    words[count] = NULL;
+    fn(words, count, out, arg);
+}
+
+static void
+compare_lines(const char *name, BkStr got, BkStr want)
+{
+    int line = 0;
+
+    while (got.len > 0 || want.len > 0) {
+        BkStr g = BkStr_Split(&got, '\n');
+        BkStr w = BkStr_Split(&want, '\n');
+        line++;
+        ck_assert_msg(BkStr_Equal(g, w),
+                      "%s.expected:%d\n  expected: %.*s\n  printed:  %.*s",
+                      name, line, BK_STR_ARG(w), BK_STR_ARG(g));
+    }
+}
+
+void
+BkScript_Run(const char *name, BkScriptFn fn, void *arg)
+{
+    char *script = read_file(name, ".script");
+    BkBuf out = BkBuf_Make(0);
+    char *rest = script;
+
+    for (char *line = strsep(&rest, "\n"); line != NULL;
+         line = strsep(&rest, "\n")) {
+        if (line[0] != '\0' && line[0] != '#') {
+            run_line(line, fn, &out, arg);
+        }
+    }
+    if (getenv("BK_SCRIPT_SHOW") != NULL) {
+        fputs(BkBuf_C(&out), stdout);
+    }
+    char *expected = read_file(name, ".expected");
+    compare_lines(name, BkBuf_Str(&out), BkStr_FromC(expected));
+    free(expected);
+    free(script);
+    BkBuf_Destroy(&out);
+}
