--- a/include/bk/net/http_server.h
+++ b/include/bk/net/http_server.h
@@ -43,7 +43,8 @@
 int BkHttpServer_Active(const BkHttpServer *server);
 
 BkStr BkHttpReq_Method(const BkHttpReq *req);
-BkStr BkHttpReq_Path(const BkHttpReq *req); /* without the query */
+BkStr BkHttpReq_Path(const BkHttpReq *req);   /* as sent, without the query */
+BkStr BkHttpReq_Target(const BkHttpReq *req); /* as sent, with the query */
 BkStr BkHttpReq_Body(const BkHttpReq *req);
 BkStr BkHttpReq_Header(const BkHttpReq *req, const char *name); /* or "" */
 BkStr BkHttpReq_Query(const BkHttpReq *req, const char *name);  /* or "" */
--- /dev/null
+++ b/src/platform/txn.c
@@ -0,0 +1,73 @@
+#include "bk/platform/platform.h"
+
+#include <stdlib.h>
+
+BkTxn *
+BkTxn_Create(void)
+{
+    return BkMem_New(1, sizeof(BkTxn));
+}
+
+void
+BkTxn_Destroy(BkTxn *txn)
+{
+    if (txn == NULL) {
+        return;
+    }
+    for (int i = 0; i < txn->count; i++) {
+        free(txn->ops[i].table);
+        free(txn->ops[i].key);
+        free(txn->ops[i].data);
+    }
+    free(txn);
+}
+
+static BkTxnOp *
+add_op(BkTxn *txn, BkTxnOpKind kind, BkStr table, BkStr key)
+{
+    if (txn->count == BK_TXN_MAX_OPS) {
+        return NULL;
+    }
+    BkTxnOp *op = &txn->ops[txn->count++];
+    *op = (BkTxnOp){
+        .kind = kind, .table = BkStr_Dup(table), .key = BkStr_Dup(key)};
+    return op;
+}
+
+static BkStatus
+refuse_op(void)
+{
+    return BkErr_Set(BK_ERANGE, "a transaction holds %d operations",
+                     BK_TXN_MAX_OPS);
+}
+
+BkStatus
+BkTxn_Check(BkTxn *txn, BkStr table, BkStr key, uint64_t version)
+{
+    BkTxnOp *op = add_op(txn, BK_TXN_CHECK, table, key);
+
+    if (op == NULL) {
+        return refuse_op();
+    }
+    op->version = version;
+    return BK_OK;
+}
+
+BkStatus
+BkTxn_Put(BkTxn *txn, BkStr table, BkStr key, BkStr data)
+{
+    BkTxnOp *op = add_op(txn, BK_TXN_PUT, table, key);
+
+    if (op == NULL) {
+        return refuse_op();
+    }
+    op->data = BkStr_Dup(data);
+    return BK_OK;
+}
+
+BkStatus
+BkTxn_Delete(BkTxn *txn, BkStr table, BkStr key)
+{
+    return add_op(txn, BK_TXN_DELETE, table, key) == NULL ? refuse_op()
+                                                          : BK_OK;
+}
