--- a/tests/fakes/engine_runs.c
+++ b/tests/fakes/engine_runs.c
@@ -219,7 +219,7 @@
                 "continue_from", "tokens", &from);
     run->total = (int)tokens;
     run->from = (int)(from < tokens ? from : tokens);
-    runs = BkMem_Grow(runs, (size_t)run_count + 1, sizeof(*runs));
+    runs = BkMem_Grow(runs, (size_t)run_count + 1, sizeof(Run *));
     runs[run_count++] = run;
     journal_run(req, run, item);
     begin_runs();
