daemon: add view, gossip, configuration in force and what daemons share

Every daemon polls a fixed number of upstreams a second and gossips what it saw, so that control traffic per daemon does not grow with their number.

--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -10,6 +10,8 @@
 
 #include <stdbool.h>
 
+#include <jansson.h>
+
 #include "bk/base/loop.h"
 #include "bk/base/rng.h"
 #include "bk/base/settings.h"
@@ -66,6 +68,8 @@
     /* an ops request below /peer/ or /ops/ that the daemon does not know;
        false: not known either */
     bool (*on_ops)(BkHttpReq *req, void *arg);
+    /* adds members to the answer of GET /ops/status; may be NULL */
+    void (*on_status)(json_t *status, void *arg);
     void *arg;
 } BkDaemonHooks;
 
@@ -86,6 +90,12 @@
     char planner[BKG_NAME + 1];
     BkMs planner_at; /* planner last heard; BK_MS_NEVER: never */
     bool stopping;
+    BkDaemonHooks hooks;
+    struct BkPeers *peers; /* private to the slice from here on */
+    struct BkConfigSync *sync;
+    struct BkUpstreamWatch *watch;
+    struct BkSession *session;
+    BkTimer *hello_timer;
 };
 
 /* ERRORS: NULL with the last message set. */
@@ -99,6 +109,10 @@
 void BkDaemon_Finish(BkDaemon *daemon);
 void BkDaemon_Destroy(BkDaemon *daemon);
 
+/* Since when the VM list lacks this VM, which it had before; BK_MS_NEVER if
+ * it is listed, or never was, or the list cannot be read. */
+BkMs BkDaemon_VmGoneSince(const BkDaemon *daemon, const char *vm);
+
 /* Sends the demand counters to a steward (any will forward). */
 void BkDaemon_SendDemand(BkDaemon *daemon, const bkg_demand *demand);
 
--- a/include/bk/gossip/gen/gossip_xdr.h
+++ b/include/bk/gossip/gen/gossip_xdr.h
@@ -15,6 +15,7 @@
 
 #define BKG_MAX_OBS 44
 #define BKG_MAX_DEMAND 64
+#define BKG_MAX_PEERS 4
 #define BKG_NAME 64
 
 struct bkg_obs {
@@ -26,8 +27,15 @@
 };
 typedef struct bkg_obs bkg_obs;
 
+struct bkg_peer {
+	char *gossip;
+	u_int role;
+};
+typedef struct bkg_peer bkg_peer;
+
 struct bkg_hello {
 	char *daemon;
+	char *ops;
 	u_int role;
 	u_quad_t epoch;
 	u_quad_t acting;
@@ -37,6 +45,10 @@
 	u_quad_t term;
 	char *planner;
 	u_int planner_age;
+	struct {
+		u_int peers_len;
+		bkg_peer *peers_val;
+	} peers;
 	struct {
 		u_int obs_len;
 		bkg_obs *obs_val;
@@ -87,12 +99,14 @@
 
 #if defined(__STDC__) || defined(__cplusplus)
 extern  bool_t xdr_bkg_obs (XDR *, bkg_obs*);
+extern  bool_t xdr_bkg_peer (XDR *, bkg_peer*);
 extern  bool_t xdr_bkg_hello (XDR *, bkg_hello*);
 extern  bool_t xdr_bkg_demand_row (XDR *, bkg_demand_row*);
 extern  bool_t xdr_bkg_demand (XDR *, bkg_demand*);
 
 #else /* K&R C */
 extern bool_t xdr_bkg_obs ();
+extern bool_t xdr_bkg_peer ();
 extern bool_t xdr_bkg_hello ();
 extern bool_t xdr_bkg_demand_row ();
 extern bool_t xdr_bkg_demand ();
--- a/include/bk/inforce/inforce.h
+++ b/include/bk/inforce/inforce.h
@@ -6,7 +6,8 @@
  * highest whose text it holds with a good signature. It is current while
  * it has lately heard from the platform or from a peer; a daemon that has
  * just started is current only after the platform answered, or after a peer
- * that is current told it the version.
+ * that is current told it the version. One that knows of a higher version
+ * and still acts on a lower one after BK_INFORCE_GRACE is not current.
  */
 #ifndef BK_INFORCE_INFORCE_H
 #define BK_INFORCE_INFORCE_H
@@ -17,6 +18,9 @@
 #include "bk/base/clock.h"
 #include "bk/bundle/bundle.h"
 
+/* the span in which a change must be in force everywhere */
+#define BK_INFORCE_GRACE ((BkMs)3000)
+
 typedef enum BkNewsSource {
     BK_NEWS_PLATFORM, /* the row itself */
     BK_NEWS_PEER,     /* a peer that is current */
@@ -29,6 +33,7 @@
     unsigned char digest[BK_DIGEST_BYTES]; /* of highest */
     BkMs platform_at;   /* last word from the platform, BK_MS_NEVER: none */
     BkMs peer_at;       /* last word from a current peer */
+    BkMs behind_since;  /* when a version above acting was first told */
     BkMs cut_off_after; /* silence of both after which it is not current */
 } BkInForce;
 
--- a/include/bk/view/view.h
+++ b/include/bk/view/view.h
@@ -45,12 +45,15 @@
     uint32_t insts_digest; /* digest that insts belongs to */
     int sent_since;        /* own requests sent after seen */
     int own_running;       /* own requests in progress now */
+    BkMs polled;           /* start of the last own poll, or BK_MS_NEVER */
 } BkUpView;
 
 typedef struct BkView {
     const BkBundle *bundle; /* not owned */
     BkUpView *ups;          /* one per upstream of the bundle, same index */
     int count;
+    uint64_t generation; /* rises when an instance list or a state that
+                            BkView_Usable looks at changes */
 } BkView;
 
 /* An observation as it travels between daemons. */
@@ -73,6 +76,15 @@
  * ERRORS: BK_EDECODE; the view is unchanged. */
 BkStatus BkView_TakeState(BkView *view, int up, BkStr json, BkMs now);
 
+/* An own poll begins. */
+void BkView_Polled(BkView *view, int up, BkMs now);
+
+/* Whether the VM list or an operator's drain takes the upstream out. */
+void BkView_SetLeft(BkView *view, int up, bool left);
+
+/* Marks it leaving for this boot, as the VM list says. */
+void BkView_SetLeaving(BkView *view, int up);
+
 /* A contact failed. */
 void BkView_TakeFailure(BkView *view, int up, BkMs now);
 
--- /dev/null
+++ b/src/daemon/args.c
@@ -0,0 +1,158 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+#include "bk/daemon/daemon.h"
+
+#define SPEC(section, key, type, field, fallback, min, max, help)             \
+    {                                                                         \
+        section, key, type, offsetof(BkDaemonConf, field), fallback, min,     \
+            max, help                                                         \
+    }
+
+static const BkSettingSpec daemon_specs[] = {
+    SPEC("daemon", "name", BK_SET_TEXT, name, NULL, 0, 0,
+         "name, unique over all daemons"),
+    SPEC("daemon", "domain", BK_SET_TEXT, domain, NULL, 0, 0,
+         "failure domain"),
+    SPEC("daemon", "gossip", BK_SET_ADDR, gossip, NULL, 0, 0,
+         "UDP address for other daemons"),
+    SPEC("daemon", "ops", BK_SET_ADDR, ops, NULL, 0, 0,
+         "HTTP address for operators and peers"),
+    SPEC("daemon", "peers", BK_SET_TEXT, peers, "", 0, 0,
+         "gossip addresses of some other daemons"),
+    SPEC("daemon", "signers", BK_SET_TEXT, signers, NULL, 0, 0,
+         "public keys whose sign-off counts, in hex"),
+    SPEC("daemon", "log_level", BK_SET_TEXT, log_level, "info", 0, 0,
+         "emerg, alert, crit, err, warning, notice, info or debug"),
+    SPEC("daemon", "secret", BK_SET_TEXT, secret, NULL, 0, 0,
+         "64 hex digits, the same for all daemons"),
+    SPEC("daemon", "gossip_period", BK_SET_MS, gossip_period, "1s", 50, 10000,
+         "between messages to peers"),
+    SPEC("daemon", "gossip_fanout", BK_SET_INT, gossip_fanout, "2", 1, 8,
+         "peers told each period"),
+    SPEC("daemon", "polls_per_second", BK_SET_INT, polls_per_second, "4", 1,
+         100, "upstreams polled a second"),
+    SPEC("daemon", "stale_after", BK_SET_MS, stale_after, "10s", 500, 120000,
+         "age at which an observation is not used"),
+    SPEC("daemon", "cut_off_after", BK_SET_MS, cut_off_after, "10s", 500,
+         600000, "silence of platform and peers until not ready"),
+    SPEC("daemon", "balancer_wait", BK_SET_MS, balancer_wait, "5s", 0, 120000,
+         "at a planned stop, until the balancer has noticed"),
+    SPEC("platform", "address", BK_SET_ADDR, platform, NULL, 0, 0,
+         "address of the table service and object store"),
+    SPEC("platform", "timeout", BK_SET_MS, platform_timeout, "1s", 50, 60000,
+         "of one call"),
+    SPEC("platform", "poll_bundle", BK_SET_MS, poll_bundle, "1500ms", 50,
+         60000, "between reads of the configuration in force"),
+    SPEC("platform", "poll_vms", BK_SET_MS, poll_vms, "3s", 50, 60000,
+         "between reads of the VM list and the drains"),
+};
+
+enum {
+    SECRET_DIGITS = 64
+};
+
+const BkSettingSpec *
+BkDaemon_Specs(int *count)
+{
+    *count = (int)(sizeof(daemon_specs) / sizeof(daemon_specs[0]));
+    return daemon_specs;
+}
+
+typedef struct Args {
+    const char *config;
+    bool check_only;
+} Args;
+
+enum {
+    OPT_CHECK = 256
+};
+
+static const struct argp_option options[] = {
+    {"config", 'c', "FILE", 0, "settings file", 0},
+    {"check-config", OPT_CHECK, NULL, 0, "check the settings and exit", 0},
+    {0},
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+    Args *args = state->input;
+
+    switch (key) {
+    case 'c':
+        args->config = value;
+        return 0;
+    case OPT_CHECK:
+        args->check_only = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        argp_error(state, "unexpected argument \"%s\"", value);
+        return 0;
+    case ARGP_KEY_END:
+        if (args->config == NULL) {
+            argp_error(state, "--config FILE is needed");
+        }
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static BkStatus
+check_daemon(const char *path, const BkDaemonConf *conf)
+{
+    BkStr digits = BkStr_FromC(conf->secret);
+
+    if (BkLog_ParseLevel(conf->log_level) < 0) {
+        return BkErr_Set(BK_ECONFIG,
+                         "%s: [daemon] log_level: \"%s\" is no severity; "
+                         "allowed: emerg alert crit err warning notice info "
+                         "debug",
+                         path, conf->log_level);
+    }
+    if (digits.len != SECRET_DIGITS ||
+        strspn(conf->secret, "0123456789abcdef") != SECRET_DIGITS) {
+        return BkErr_Set(BK_ECONFIG,
+                         "%s: [daemon] secret: needs 64 hex digits", path);
+    }
+    if (conf->cut_off_after <= conf->gossip_period) {
+        return BkErr_Set(BK_ECONFIG,
+                         "%s: [daemon] cut_off_after: must be longer than "
+                         "gossip_period",
+                         path);
+    }
+    return BK_OK;
+}
+
+void
+BkDaemon_ParseArgs(int argc, char **argv, const char *program, const char *doc,
+                   const BkSettingSpec *specs, int spec_count, void *settings)
+{
+    char version[64];
+    Args args = {0};
+    struct argp argp = {options, parse_option, NULL, doc, NULL, NULL, NULL};
+    BkDaemonConf *conf = settings;
+
+    snprintf(version, sizeof(version), "%s %s", program, BK_VERSION);
+    argp_program_version = version;
+    argp_err_exit_status = BK_EUSAGE;
+    argp_parse(&argp, argc, argv, 0, NULL, &args);
+    BkStatus status =
+        BkSettings_Load(args.config, specs, spec_count, settings);
+    if (status == BK_OK) {
+        status = check_daemon(args.config, conf);
+    }
+    if (status != BK_OK) {
+        fprintf(stderr, "%s: %s\n", program, BkErr_Last());
+        exit((int)status);
+    }
+    if (args.check_only) {
+        printf("%s: settings are good\n", args.config);
+        exit(0);
+    }
+    BkLog_Init(conf->name, (BkLogLevel)BkLog_ParseLevel(conf->log_level));
+}
--- /dev/null
+++ b/src/daemon/hello.c
@@ -0,0 +1,245 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "bk/daemon/internal.h"
+
+enum {
+    FORGET_AFTER_MS = 60000,
+    SEED_ONE_IN = 8, /* now and then a seed, so that halves find together */
+    LOAD_SHIFT = 16,
+    LOAD_MAX = 0xffff
+};
+
+#define AGE_LEAVING 0x80000000U
+#define AGE_MAX 0x7fffffff
+
+static uint32_t
+cap_load(int load)
+{
+    return load > LOAD_MAX ? LOAD_MAX : (uint32_t)load;
+}
+
+static int
+fill_obs(const BkDaemon *daemon, BkMs now, bkg_obs *out)
+{
+    BkObs told[BKG_MAX_OBS];
+
+    if (daemon->view == NULL) {
+        return 0;
+    }
+    int count = BkView_Tell(daemon->view, now, told, BKG_MAX_OBS);
+    for (int i = 0; i < count; i++) {
+        const BkObs *obs = &told[i];
+        BkMs age = obs->age > AGE_MAX ? AGE_MAX : obs->age;
+        out[i].key = obs->key;
+        out[i].boot = obs->boot;
+        out[i].digest = obs->digest;
+        out[i].load =
+            cap_load(obs->running) << LOAD_SHIFT | cap_load(obs->waiting);
+        out[i].age = (uint32_t)age | (obs->leaving ? AGE_LEAVING : 0);
+    }
+    return count;
+}
+
+static bool
+is_alive(const BkPeer *peer, void *arg)
+{
+    (void)arg;
+    return peer->heard != BK_MS_NEVER && !peer->stopping;
+}
+
+static int
+fill_peers(BkDaemon *daemon, bkg_peer *out)
+{
+    int count = 0;
+
+    for (int i = 0; i < BKG_MAX_PEERS; i++) {
+        BkPeer *peer =
+            BkPeers_Pick(daemon->peers, &daemon->rng, is_alive, NULL);
+        if (peer == NULL) {
+            break;
+        }
+        out[count].gossip = peer->gossip;
+        out[count].role = peer->role;
+        count++;
+    }
+    return count;
+}
+
+static bool
+is_any(const BkPeer *peer, void *arg)
+{
+    (void)arg;
+    return !peer->stopping;
+}
+
+static bool
+is_seed(const BkPeer *peer, void *arg)
+{
+    (void)arg;
+    return peer->seed;
+}
+
+static BkPeer *
+pick_target(BkDaemon *daemon)
+{
+    BkPeer *peer = NULL;
+
+    if (BkRng_Below(&daemon->rng, SEED_ONE_IN) == 0) {
+        peer = BkPeers_Pick(daemon->peers, &daemon->rng, is_seed, NULL);
+    }
+    if (peer == NULL) {
+        peer = BkPeers_Pick(daemon->peers, &daemon->rng, is_any, NULL);
+    }
+    return peer;
+}
+
+static void
+send_hellos(BkDaemon *daemon)
+{
+    BkMs now = BkClock_Now();
+    bkg_obs obs[BKG_MAX_OBS];
+    bkg_peer peers[BKG_MAX_PEERS];
+    bkg_hello hello = {0};
+
+    hello.daemon = daemon->conf->name;
+    hello.ops = daemon->conf->ops;
+    hello.role = daemon->role;
+    hello.epoch = daemon->epoch;
+    hello.acting = daemon->inforce.acting;
+    memcpy(hello.digest, daemon->inforce.digest, BK_DIGEST_BYTES);
+    hello.current = BkInForce_Current(&daemon->inforce, now);
+    hello.stopping = daemon->stopping;
+    hello.term = daemon->term;
+    hello.planner = daemon->planner;
+    hello.planner_age = daemon->planner_at == BK_MS_NEVER
+                            ? AGE_MAX
+                            : (uint32_t)(now - daemon->planner_at);
+    hello.peers.peers_val = peers;
+    hello.peers.peers_len = (u_int)fill_peers(daemon, peers);
+    hello.obs.obs_val = obs;
+    hello.obs.obs_len = (u_int)fill_obs(daemon, now, obs);
+    for (int64_t i = 0; i < daemon->conf->gossip_fanout; i++) {
+        BkPeer *peer = pick_target(daemon);
+        if (peer != NULL) {
+            BkGossip_SendHello(daemon->gossip, peer->gossip, &hello);
+        }
+    }
+}
+
+static void
+beat(void *arg)
+{
+    BkDaemon *daemon = arg;
+    BkMs period = daemon->conf->gossip_period;
+
+    BkPeers_Forget(daemon->peers, BkClock_Now(), FORGET_AFTER_MS);
+    send_hellos(daemon);
+    BkMs jitter = (BkMs)BkRng_Below(&daemon->rng, (uint32_t)period / 4 + 1);
+    BkTimer_Start(daemon->hello_timer, period - period / 8 + jitter);
+}
+
+void
+BkHello_Start(BkDaemon *daemon)
+{
+    daemon->hello_timer = BkTimer_Create(daemon->loop, beat, daemon);
+    BkTimer_Start(daemon->hello_timer, 0);
+}
+
+static void
+take_planner(BkDaemon *daemon, const bkg_hello *hello, BkMs now)
+{
+    if (hello->term < daemon->term || hello->planner_age >= AGE_MAX) {
+        return;
+    }
+    BkMs at = now - (BkMs)hello->planner_age;
+    bool newer = hello->term > daemon->term ||
+                 daemon->planner_at == BK_MS_NEVER || at > daemon->planner_at;
+    if (!newer) {
+        return;
+    }
+    daemon->term = hello->term;
+    daemon->planner_at = at;
+    snprintf(daemon->planner, sizeof(daemon->planner), "%s", hello->planner);
+}
+
+static void
+take_obs(BkDaemon *daemon, const bkg_hello *hello, BkMs now)
+{
+    if (daemon->view == NULL) {
+        return;
+    }
+    for (u_int i = 0; i < hello->obs.obs_len; i++) {
+        const bkg_obs *row = &hello->obs.obs_val[i];
+        BkObs obs = {
+            .key = row->key,
+            .boot = row->boot,
+            .digest = row->digest,
+            .age = (BkMs)(row->age & ~AGE_LEAVING),
+            .running = (int)(row->load >> LOAD_SHIFT),
+            .waiting = (int)(row->load & LOAD_MAX),
+            .leaving = (row->age & AGE_LEAVING) != 0,
+        };
+        BkView_TakeObs(daemon->view, &obs, now);
+    }
+}
+
+void
+BkHello_Take(BkDaemon *daemon, const bkg_hello *hello, const char *from)
+{
+    BkMs now = BkClock_Now();
+    BkPeer *peer = BkPeers_Learn(daemon->peers, from, now);
+
+    if (strcmp(hello->daemon, daemon->conf->name) == 0) {
+        return;
+    }
+    if (peer != NULL) {
+        /* an older start of the same daemon may still be in the network */
+        if (strcmp(peer->name, hello->daemon) == 0 &&
+            hello->epoch < peer->epoch) {
+            return;
+        }
+        peer->heard = now;
+        peer->role = (BkRole)hello->role;
+        peer->epoch = hello->epoch;
+        peer->stopping = hello->stopping != 0;
+        snprintf(peer->name, sizeof(peer->name), "%s", hello->daemon);
+        snprintf(peer->ops, sizeof(peer->ops), "%s", hello->ops);
+    }
+    for (u_int i = 0; i < hello->peers.peers_len; i++) {
+        const char *addr = hello->peers.peers_val[i].gossip;
+        if (strcmp(addr, daemon->conf->gossip) != 0) {
+            BkPeers_Learn(daemon->peers, addr, now);
+        }
+    }
+    take_planner(daemon, hello, now);
+    take_obs(daemon, hello, now);
+    if (hello->current) {
+        BkConfigSync_PeerNews(daemon->sync, hello->acting,
+                              (const unsigned char *)hello->digest,
+                              hello->ops);
+    }
+}
+
+static bool
+is_steward(const BkPeer *peer, void *arg)
+{
+    (void)arg;
+    return peer->role == BK_ROLE_STEWARD && !peer->stopping;
+}
+
+void
+BkDaemon_SendDemand(BkDaemon *daemon, const bkg_demand *demand)
+{
+    BkPeer *peer = NULL;
+
+    if (daemon->planner[0] != '\0') {
+        peer = BkPeers_FindName(daemon->peers, daemon->planner);
+    }
+    if (peer == NULL) {
+        peer = BkPeers_Pick(daemon->peers, &daemon->rng, is_steward, NULL);
+    }
+    if (peer != NULL) {
+        BkGossip_SendDemand(daemon->gossip, peer->gossip, demand);
+    }
+}
--- /dev/null
+++ b/src/daemon/peers.c
@@ -0,0 +1,110 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/daemon/internal.h"
+
+enum {
+    MAX_PEERS = 1024
+};
+
+BkPeer *
+BkPeers_Learn(BkPeers *peers, const char *gossip, BkMs now)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (strcmp(peers->list[i].gossip, gossip) == 0) {
+            return &peers->list[i];
+        }
+    }
+    if (peers->count == MAX_PEERS ||
+        BkSettings_ParseAddr(BkStr_FromC(gossip)) != BK_OK) {
+        return NULL;
+    }
+    if (peers->count == peers->cap) {
+        peers->cap = peers->cap == 0 ? 16 : peers->cap * 2;
+        peers->list =
+            BkMem_Grow(peers->list, (size_t)peers->cap, sizeof(BkPeer));
+    }
+    BkPeer *peer = &peers->list[peers->count++];
+    memset(peer, 0, sizeof(*peer));
+    snprintf(peer->gossip, sizeof(peer->gossip), "%s", gossip);
+    peer->learned = now;
+    peer->heard = BK_MS_NEVER;
+    return peer;
+}
+
+BkPeers *
+BkPeers_Create(const char *seeds, BkMs now)
+{
+    BkPeers *peers = BkMem_New(1, sizeof(*peers));
+    BkStr rest = BkStr_FromC(seeds);
+
+    while (rest.len > 0) {
+        BkStr addr = BkStr_Split(&rest, ' ');
+        char text[BKG_NAME + 1];
+        if (addr.len == 0) {
+            continue;
+        }
+        snprintf(text, sizeof(text), "%.*s", BK_STR_ARG(addr));
+        BkPeer *peer = BkPeers_Learn(peers, text, now);
+        if (peer != NULL) {
+            peer->seed = true;
+        }
+    }
+    return peers;
+}
+
+void
+BkPeers_Destroy(BkPeers *peers)
+{
+    if (peers == NULL) {
+        return;
+    }
+    free(peers->list);
+    free(peers);
+}
+
+void
+BkPeers_Forget(BkPeers *peers, BkMs now, BkMs span)
+{
+    int kept = 0;
+
+    for (int i = 0; i < peers->count; i++) {
+        const BkPeer *peer = &peers->list[i];
+        BkMs last = peer->heard == BK_MS_NEVER ? peer->learned : peer->heard;
+        if (now - last <= span || peer->seed) {
+            peers->list[kept++] = *peer;
+        }
+    }
+    peers->count = kept;
+}
+
+BkPeer *
+BkPeers_Pick(BkPeers *peers, BkRng *rng,
+             bool (*fn)(const BkPeer *peer, void *arg), void *arg)
+{
+    BkPeer *picked = NULL;
+    uint32_t seen = 0;
+
+    for (int i = 0; i < peers->count; i++) {
+        if (!fn(&peers->list[i], arg)) {
+            continue;
+        }
+        seen++;
+        if (BkRng_Below(rng, seen) == 0) {
+            picked = &peers->list[i];
+        }
+    }
+    return picked;
+}
+
+BkPeer *
+BkPeers_FindName(BkPeers *peers, const char *name)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (strcmp(peers->list[i].name, name) == 0) {
+            return &peers->list[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/src/daemon/watch.c
@@ -0,0 +1,298 @@
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+#include "bk/daemon/internal.h"
+
+/*
+ * Polls a few upstreams a second, and all of a new view once, at most
+ * MAX_POLLS at a time; reads the VM list and the operators' drains.
+ */
+
+enum {
+    MAX_POLLS = 32,
+    FIRST_POLLS_MS = 50, /* pause between batches of first polls */
+    POLL_TIMEOUT_MS = 1000,
+    MAX_STATE_BYTES = 256 * 1024,
+    MAX_DRAINS = 500,
+    URL_BYTES = 128
+};
+
+typedef struct Vm {
+    char *name;
+    bool listed;
+    bool leaving;
+    BkMs gone_since; /* BK_MS_NEVER while listed */
+    uint32_t round;  /* list in which it was last seen */
+} Vm;
+
+struct BkUpstreamWatch {
+    BkDaemon *daemon;
+    BkTimer *poll_timer;
+    BkTimer *vms_timer;
+    int polls; /* in flight */
+    Vm *vms;
+    int vm_count;
+    uint32_t round;
+    char **drained; /* names */
+    int drained_count;
+};
+
+typedef struct Poll {
+    BkUpstreamWatch *watch;
+    char *upstream; /* by name: the view may be replaced meanwhile */
+} Poll;
+
+static void
+take_state(const BkHttpResult *result, BkStr body, void *arg)
+{
+    Poll *poll = arg;
+    BkDaemon *daemon = poll->watch->daemon;
+    BkMs now = BkClock_Now();
+
+    poll->watch->polls--;
+    BkControl_Count("poll", result);
+    int up =
+        BkBundle_FindUpstream(daemon->bundle, BkStr_FromC(poll->upstream));
+    if (up >= 0) {
+        bool good = result->status == BK_OK && result->code == 200;
+        if (!good || BkView_TakeState(daemon->view, up, body, now) != BK_OK) {
+            BkView_TakeFailure(daemon->view, up, now);
+        }
+    }
+    free(poll->upstream);
+    free(poll);
+}
+
+static void
+start_poll(BkUpstreamWatch *watch, int up, BkMs now)
+{
+    BkDaemon *daemon = watch->daemon;
+    const BkUpstream *upstream = &daemon->bundle->upstreams[up];
+    char url[URL_BYTES];
+    Poll *poll = BkMem_New(1, sizeof(*poll));
+    BkHttpSpec spec = {.method = "GET", .url = url};
+
+    spec.timeout = POLL_TIMEOUT_MS;
+    snprintf(url, sizeof(url), "http://%s/admin/state", upstream->addr);
+    poll->watch = watch;
+    poll->upstream = BkStr_Dup(BkStr_FromC(upstream->name));
+    watch->polls++;
+    BkView_Polled(daemon->view, up, now);
+    BkHttpClient_Fetch(daemon->http, &spec, MAX_STATE_BYTES, take_state, poll);
+}
+
+static bool
+never_polled(const BkView *view, int up)
+{
+    return view->ups[up].polled == BK_MS_NEVER;
+}
+
+static void
+poll_some(void *arg)
+{
+    BkUpstreamWatch *watch = arg;
+    BkDaemon *daemon = watch->daemon;
+    BkMs period = BK_MS_PER_S / daemon->conf->polls_per_second;
+    BkMs next = period;
+    BkMs now = BkClock_Now();
+
+    while (daemon->view != NULL && watch->polls < MAX_POLLS) {
+        int up = BkView_NextPoll(daemon->view, now, period);
+        if (up < 0) {
+            break;
+        }
+        bool first = never_polled(daemon->view, up);
+        start_poll(watch, up, now);
+        if (!first) {
+            break;
+        }
+        next = FIRST_POLLS_MS < period ? FIRST_POLLS_MS : period;
+    }
+    BkTimer_Start(watch->poll_timer, next);
+}
+
+static bool
+is_drained(const BkUpstreamWatch *watch, const char *name)
+{
+    for (int i = 0; i < watch->drained_count; i++) {
+        if (strcmp(watch->drained[i], name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static Vm *
+find_vm(const BkUpstreamWatch *watch, const char *name)
+{
+    for (int i = 0; i < watch->vm_count; i++) {
+        if (strcmp(watch->vms[i].name, name) == 0) {
+            return &watch->vms[i];
+        }
+    }
+    return NULL;
+}
+
+/* what the list and the drains say, put into the view */
+static void
+apply_to_view(BkUpstreamWatch *watch)
+{
+    BkDaemon *daemon = watch->daemon;
+
+    if (daemon->view == NULL) {
+        return;
+    }
+    for (int i = 0; i < daemon->view->count; i++) {
+        const char *name = daemon->bundle->upstreams[i].name;
+        const Vm *vm = find_vm(watch, name);
+        bool out = vm != NULL && (!vm->listed || vm->leaving);
+        BkView_SetLeft(daemon->view, i, out || is_drained(watch, name));
+    }
+}
+
+void
+BkUpstreamWatch_NewView(BkUpstreamWatch *watch)
+{
+    apply_to_view(watch);
+    BkTimer_Start(watch->poll_timer, 0);
+}
+
+static void
+take_vm(BkUpstreamWatch *watch, const char *name, bool leaving)
+{
+    Vm *vm = find_vm(watch, name);
+
+    if (vm == NULL) {
+        watch->vms =
+            BkMem_Grow(watch->vms, (size_t)watch->vm_count + 1, sizeof(Vm));
+        vm = &watch->vms[watch->vm_count++];
+        *vm = (Vm){.name = BkStr_Dup(BkStr_FromC(name))};
+    }
+    vm->listed = true;
+    vm->leaving = leaving;
+    vm->gone_since = BK_MS_NEVER;
+    vm->round = watch->round;
+}
+
+static void
+mark_gone(BkUpstreamWatch *watch, BkMs now)
+{
+    for (int i = 0; i < watch->vm_count; i++) {
+        Vm *vm = &watch->vms[i];
+        if (vm->round != watch->round && vm->listed) {
+            vm->listed = false;
+            vm->gone_since = now;
+        }
+    }
+}
+
+static void
+take_vms(const BkPlatReply *reply, void *arg)
+{
+    BkUpstreamWatch *watch = arg;
+    size_t i;
+    json_t *row;
+
+    if (reply->status != BK_OK) {
+        return;
+    }
+    json_t *root = json_loadb(reply->body.ptr, reply->body.len, 0, NULL);
+    json_t *list = json_object_get(root, "vms");
+    if (json_is_array(list)) {
+        watch->round++;
+        json_array_foreach(list, i, row)
+        {
+            const char *name = json_string_value(json_object_get(row, "name"));
+            const char *state =
+                json_string_value(json_object_get(row, "state"));
+            if (name != NULL && state != NULL) {
+                take_vm(watch, name, strcmp(state, "leaving") == 0);
+            }
+        }
+        mark_gone(watch, BkClock_Now());
+        apply_to_view(watch);
+    }
+    json_decref(root);
+}
+
+static void
+clear_drained(BkUpstreamWatch *watch)
+{
+    for (int i = 0; i < watch->drained_count; i++) {
+        free(watch->drained[i]);
+    }
+    free(watch->drained);
+    watch->drained = NULL;
+    watch->drained_count = 0;
+}
+
+static void
+take_drains(const BkPlatReply *reply, void *arg)
+{
+    BkUpstreamWatch *watch = arg;
+
+    if (reply->status != BK_OK && reply->status != BK_ENOTFOUND) {
+        return;
+    }
+    clear_drained(watch);
+    watch->drained = BkMem_New((size_t)reply->count, sizeof(char *));
+    for (int i = 0; i < reply->count; i++) {
+        watch->drained[i] = BkStr_Dup(reply->rows[i].key);
+    }
+    watch->drained_count = reply->count;
+    apply_to_view(watch);
+}
+
+static void
+read_lists(void *arg)
+{
+    BkUpstreamWatch *watch = arg;
+    BkDaemon *daemon = watch->daemon;
+    BkMs period = daemon->conf->poll_vms;
+    BkMs jitter = (BkMs)BkRng_Below(&daemon->rng, (uint32_t)period / 4 + 1);
+
+    BkTimer_Start(watch->vms_timer, period - period / 4 + jitter);
+    BkPlat_Vms(daemon->plat, take_vms, watch);
+    BkPlat_List(daemon->plat, BK_STR("drain"), BK_STR(""), BK_STR(""),
+                MAX_DRAINS, take_drains, watch);
+}
+
+BkUpstreamWatch *
+BkUpstreamWatch_Create(BkDaemon *daemon)
+{
+    BkUpstreamWatch *watch = BkMem_New(1, sizeof(*watch));
+
+    watch->daemon = daemon;
+    watch->poll_timer = BkTimer_Create(daemon->loop, poll_some, watch);
+    watch->vms_timer = BkTimer_Create(daemon->loop, read_lists, watch);
+    BkTimer_Start(watch->poll_timer, 0);
+    BkTimer_Start(watch->vms_timer, 0);
+    return watch;
+}
+
+void
+BkUpstreamWatch_Destroy(BkUpstreamWatch *watch)
+{
+    if (watch == NULL) {
+        return;
+    }
+    clear_drained(watch);
+    for (int i = 0; i < watch->vm_count; i++) {
+        free(watch->vms[i].name);
+    }
+    free(watch->vms);
+    BkTimer_Destroy(watch->poll_timer);
+    BkTimer_Destroy(watch->vms_timer);
+    free(watch);
+}
+
+BkMs
+BkDaemon_VmGoneSince(const BkDaemon *daemon, const char *name)
+{
+    const Vm *vm = find_vm(daemon->watch, name);
+
+    return vm == NULL ? BK_MS_NEVER : vm->gone_since;
+}
--- a/src/gossip/gen/gossip_xdr.c
+++ b/src/gossip/gen/gossip_xdr.c
@@ -68,6 +68,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bkg_peer (XDR *xdrs, bkg_peer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->gossip, BKG_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->role))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bkg_hello (XDR *xdrs, bkg_hello *objp)
 {
@@ -76,6 +88,8 @@
 	int i;
 	 if (!xdr_string (xdrs, &objp->daemon, BKG_NAME))
 		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->ops, BKG_NAME))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->role))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->epoch))
@@ -94,6 +108,9 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->planner_age))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, BKG_MAX_PEERS,
+		sizeof (bkg_peer), (xdrproc_t) xdr_bkg_peer))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->obs.obs_val, (u_int *) &objp->obs.obs_len, BKG_MAX_OBS,
 		sizeof (bkg_obs), (xdrproc_t) xdr_bkg_obs))
 		 return FALSE;
--- a/src/gossip/gossip.x
+++ b/src/gossip/gossip.x
@@ -4,6 +4,7 @@
  */
 const BKG_MAX_OBS = 44;
 const BKG_MAX_DEMAND = 64;
+const BKG_MAX_PEERS = 4;
 const BKG_NAME = 64;
 
 struct bkg_obs {
@@ -14,8 +15,14 @@
     unsigned int age;     /* highest bit: leaving */
 };
 
+struct bkg_peer {
+    string gossip<BKG_NAME>;      /* "ip:port" */
+    unsigned int role;
+};
+
 struct bkg_hello {
     string daemon<BKG_NAME>;      /* name of the sender */
+    string ops<BKG_NAME>;         /* its operators' HTTP port, "ip:port" */
     unsigned int role;            /* 1 entry, 2 steward */
     unsigned hyper epoch;         /* rises with each start of the daemon */
     unsigned hyper acting;        /* configuration acted upon */
@@ -25,6 +32,7 @@
     unsigned hyper term;          /* highest planner term heard of */
     string planner<BKG_NAME>;     /* steward that holds it */
     unsigned int planner_age;     /* since the planner was last heard */
+    bkg_peer peers<BKG_MAX_PEERS>; /* a random few that it knows */
     bkg_obs obs<BKG_MAX_OBS>;
 };
 
--- /dev/null
+++ b/tests/unit/test_gossip.c
@@ -0,0 +1,130 @@
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bk/base/counters.h"
+#include "bk/base/rng.h"
+#include "bk/gossip/gossip.h"
+
+enum {
+    GARBAGE_COUNT = 500,
+    GARBAGE_MAX = 2000,
+    GARBAGE_SEED = 7
+};
+
+typedef struct Heard {
+    int hellos;
+    int demands;
+    u_int obs;
+    char daemon[BKG_NAME + 1];
+} Heard;
+
+static void
+take_hello(const bkg_hello *hello, const char *from, void *arg)
+{
+    Heard *heard = arg;
+
+    heard->hellos++;
+    heard->obs = hello->obs.obs_len;
+    snprintf(heard->daemon, sizeof(heard->daemon), "%s", hello->daemon);
+}
+
+static void
+take_demand(const bkg_demand *demand, const char *from, void *arg)
+{
+    Heard *heard = arg;
+
+    heard->demands += (int)demand->rows.rows_len;
+}
+
+/* a free UDP port of the loopback interface */
+static void
+find_address(char *text, size_t size)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET};
+    socklen_t len = sizeof(addr);
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ck_assert_int_eq(bind(fd, (struct sockaddr *)&addr, len), 0);
+    ck_assert_int_eq(getsockname(fd, (struct sockaddr *)&addr, &len), 0);
+    close(fd);
+    snprintf(text, size, "127.0.0.1:%d", ntohs(addr.sin_port));
+}
+
+static void
+send_garbage(BkLoop *loop, const char *to)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET};
+    BkRng rng = BkRng_Make(GARBAGE_SEED);
+    char data[GARBAGE_MAX];
+    int port = 0;
+    int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+    ck_assert_int_eq(sscanf(to, "127.0.0.1:%d", &port), 1);
+    addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    addr.sin_port = htons((uint16_t)port);
+    for (int i = 0; i < GARBAGE_COUNT; i++) {
+        size_t len = BkRng_Below(&rng, GARBAGE_MAX);
+        for (size_t at = 0; at < len; at++) {
+            data[at] = (char)BkRng_Next(&rng);
+        }
+        sendto(fd, data, len, 0, (struct sockaddr *)&addr, sizeof(addr));
+        BkLoop_Round(loop, 0);
+    }
+    close(fd);
+}
+
+START_TEST(test_messages_and_garbage)
+{
+    char addr[32];
+    Heard heard = {0};
+    bkg_obs obs[BKG_MAX_OBS] = {{.key = 1}};
+    bkg_demand_row row = {1, 2, 3};
+    bkg_hello hello = {.daemon = "entry-1",
+                       .ops = "127.0.0.1:1",
+                       .planner = "",
+                       .obs = {BKG_MAX_OBS, obs}};
+    bkg_demand demand = {.daemon = "entry-1", .rows = {1, &row}};
+    BkLoop *loop = BkLoop_Create();
+    BkGossipHandlers handlers = {take_hello, take_demand, &heard};
+
+    find_address(addr, sizeof(addr));
+    BkGossip *gossip = BkGossip_Create(loop, addr, &handlers);
+    ck_assert_msg(gossip != NULL, "%s", BkErr_Last());
+    send_garbage(loop, addr);
+    ck_assert_int_eq(BkGossip_SendHello(gossip, addr, &hello), BK_OK);
+    ck_assert_int_eq(BkGossip_SendDemand(gossip, addr, &demand), BK_OK);
+    for (int i = 0; i < 100 && heard.demands == 0; i++) {
+        BkLoop_Round(loop, 20);
+    }
+    ck_assert_int_eq(heard.hellos, 1);
+    ck_assert_int_eq(heard.demands, 1);
+    ck_assert_uint_eq(heard.obs, BKG_MAX_OBS);
+    ck_assert_str_eq(heard.daemon, "entry-1");
+    ck_assert_int_gt(BkCounter_Get("bk_gossip_garbage_total", NULL, "")->value,
+                     0);
+    hello.obs.obs_len = BKG_MAX_OBS + 1;
+    ck_assert_int_eq(BkGossip_SendHello(gossip, addr, &hello), BK_EDECODE);
+    BkGossip_Destroy(gossip);
+    BkLoop_Destroy(loop);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("gossip");
+    TCase *tcase = tcase_create("gossip");
+
+    tcase_add_test(tcase, test_messages_and_garbage);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
