--- a/include/bk/bundle/bundle.h
+++ b/include/bk/bundle/bundle.h
@@ -79,6 +79,7 @@
     int item_count;
     BkUpstream *upstreams; /* sorted by name */
     int upstream_count;
+    int *upstreams_by_key; /* their indices, sorted by key */
     BkCallerSpec *callers; /* sorted by name */
     int caller_count;
     unsigned char digest[BK_DIGEST_BYTES];
--- /dev/null
+++ b/src/bundle/bundle.c
@@ -0,0 +1,513 @@
+#include "bk/bundle/bundle.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/settings.h"
+#include "check.h"
+#include "raw.h"
+
+enum {
+    DEFAULT_SLOTS = 16,
+    MAX_SLOTS = 4096,
+    MAX_COPIES = 1024,
+    MAX_SHARE = 1000
+};
+
+/* A parse in progress. */
+typedef struct Builder {
+    BkRawBundle raw;
+    BkBundle *bundle;
+    BkBundleOrigin origin;
+} Builder;
+
+static BkStatus
+read_number(const Builder *builder, const BkRawSection *section, BkRawKey key,
+            int most, int *out)
+{
+    uint64_t number;
+
+    if (!BkRawSection_Has(section, key)) {
+        return BK_OK;
+    }
+    if (BkStr_ToU64(BkRawSection_Value(section, key), &number) != BK_OK ||
+        number < 1 || number > (uint64_t)most) {
+        return BkRawBundle_Fail(&builder->raw, section, key,
+                                "must be a number from 1 to %d", most);
+    }
+    *out = (int)number;
+    return BK_OK;
+}
+
+static BkStatus
+read_bytes(const Builder *builder, const BkRawSection *section, BkRawKey key,
+           uint64_t *out)
+{
+    BkStr value = BkRawSection_Value(section, key);
+
+    if (BkSettings_ParseBytes(value, out) != BK_OK || *out == 0) {
+        return BkRawBundle_Fail(&builder->raw, section, key,
+                                "must be a size like 200MiB or 14GiB");
+    }
+    return BK_OK;
+}
+
+static BkStatus
+read_repeatable(const Builder *builder, const BkRawSection *section, bool *out)
+{
+    BkStr value = BkRawSection_Value(section, BK_RAW_REPEATABLE);
+
+    if (BkRawSection_Has(section, BK_RAW_REPEATABLE) &&
+        BkSettings_ParseBool(value, out) != BK_OK) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_REPEATABLE,
+                                "must be yes or no");
+    }
+    return BK_OK;
+}
+
+static BkStatus
+read_word(const Builder *builder, const BkRawSection *section, BkRawKey key,
+          char **out)
+{
+    BkStr value = BkRawSection_Value(section, key);
+
+    if (!BkRawName_Valid(value)) {
+        return BkRawBundle_Fail(&builder->raw, section, key,
+                                "must be 1 to %d letters, digits and - _ .",
+                                BK_RAW_MAX_NAME);
+    }
+    *out = BkStr_Dup(value);
+    return BK_OK;
+}
+
+static int
+compare_ints(const void *a, const void *b)
+{
+    return *(const int *)a - *(const int *)b;
+}
+
+/* item indices of a list of names separated by blanks or commas */
+static BkStatus
+read_list(const Builder *builder, const BkRawSection *section, BkRawKey key,
+          bool services_only, int **out, int *out_count)
+{
+    BkBundle *bundle = builder->bundle;
+    char *copy = BkStr_Dup(BkRawSection_Value(section, key));
+    char *rest = copy;
+    BkStatus status = BK_OK;
+    int *list = BkMem_New((size_t)bundle->item_count, sizeof(int));
+    int count = 0;
+
+    for (char *word = strtok_r(copy, " \t,", &rest);
+         word != NULL && status == BK_OK;
+         word = strtok_r(NULL, " \t,", &rest)) {
+        int item = BkBundle_FindItem(bundle, BkStr_FromC(word));
+        bool twice = false;
+        for (int i = 0; i < count; i++) {
+            twice |= list[i] == item;
+        }
+        if (item < 0 ||
+            (services_only && bundle->items[item].kind != BK_ITEM_SERVICE)) {
+            status = BkRawBundle_Fail(&builder->raw, section, key,
+                                      "\"%s\" is no %s of this bundle", word,
+                                      services_only ? "[service]"
+                                                    : "[model], [adapter] or "
+                                                      "[service]");
+        }
+        else if (twice) {
+            status = BkRawBundle_Fail(&builder->raw, section, key,
+                                      "\"%s\" is listed twice", word);
+        }
+        else {
+            list[count++] = item;
+        }
+    }
+    free(copy);
+    qsort(list, (size_t)count, sizeof(int), compare_ints);
+    *out = list;
+    *out_count = count;
+    return status;
+}
+
+static BkStatus
+build_item(Builder *builder, const BkRawSection *section, BkItem *item)
+{
+    static const BkItemKind kinds[BK_RAW_KINDS] = {
+        [BK_RAW_MODEL] = BK_ITEM_MODEL,
+        [BK_RAW_ADAPTER] = BK_ITEM_ADAPTER,
+        [BK_RAW_SERVICE] = BK_ITEM_SERVICE,
+    };
+    BkStatus status = BK_OK;
+
+    item->kind = kinds[section->kind];
+    item->name = BkStr_Dup(section->name);
+    item->base = -1;
+    item->copies = 1;
+    item->repeatable = true;
+    if (item->kind == BK_ITEM_SERVICE) {
+        item->version = BkStr_Dup(BK_STR(""));
+        return read_repeatable(builder, section, &item->repeatable);
+    }
+    status = read_word(builder, section, BK_RAW_VERSION, &item->version);
+    if (status == BK_OK) {
+        status = read_bytes(builder, section, BK_RAW_BYTES, &item->bytes);
+    }
+    if (status == BK_OK) {
+        status = read_number(builder, section, BK_RAW_COPIES, MAX_COPIES,
+                             &item->copies);
+    }
+    if (status == BK_OK) {
+        status = read_repeatable(builder, section, &item->repeatable);
+    }
+    return status;
+}
+
+/* base indices; all items must be there and sorted */
+static BkStatus
+resolve_bases(Builder *builder)
+{
+    BkBundle *bundle = builder->bundle;
+
+    for (int i = 0; i < bundle->item_count; i++) {
+        BkItem *item = &bundle->items[i];
+        if (item->kind != BK_ITEM_ADAPTER) {
+            continue;
+        }
+        const BkRawSection *section = builder->origin.items[i];
+        BkStr name = BkRawSection_Value(section, BK_RAW_BASE);
+        item->base = BkBundle_FindItem(bundle, name);
+        if (item->base < 0 ||
+            bundle->items[item->base].kind != BK_ITEM_MODEL) {
+            return BkRawBundle_Fail(&builder->raw, section, BK_RAW_BASE,
+                                    "\"%.*s\" is no [model] of this bundle",
+                                    BK_STR_ARG(name));
+        }
+    }
+    return BK_OK;
+}
+
+static BkStatus
+read_kind(Builder *builder, const BkRawSection *section, BkUpstream *upstream)
+{
+    BkStr kind = BkRawSection_Value(section, BK_RAW_KIND);
+
+    if (BkStr_Equal(kind, BK_STR("engine"))) {
+        upstream->kind = BK_UPSTREAM_ENGINE;
+        return BK_OK;
+    }
+    if (BkStr_Equal(kind, BK_STR("service"))) {
+        upstream->kind = BK_UPSTREAM_SERVICE;
+        return BK_OK;
+    }
+    return BkRawBundle_Fail(&builder->raw, section, BK_RAW_KIND,
+                            "must be engine or service");
+}
+
+static BkStatus
+build_engine(Builder *builder, const BkRawSection *section,
+             BkUpstream *upstream)
+{
+    BkStr fencing = BkRawSection_Value(section, BK_RAW_FENCING);
+
+    if (BkRawSection_Has(section, BK_RAW_SERVES)) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_SERVES,
+                                "is only for kind = service");
+    }
+    if (!BkRawSection_Has(section, BK_RAW_MEMORY)) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_MEMORY,
+                                "missing; an engine must state it");
+    }
+    upstream->fencing = BkStr_Equal(fencing, BK_STR("checked"));
+    if (!upstream->fencing && !BkStr_Equal(fencing, BK_STR("ignored"))) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_FENCING,
+                                "must be checked or ignored, for an engine");
+    }
+    return read_bytes(builder, section, BK_RAW_MEMORY, &upstream->memory);
+}
+
+static BkStatus
+build_service(Builder *builder, const BkRawSection *section,
+              BkUpstream *upstream)
+{
+    if (BkRawSection_Has(section, BK_RAW_MEMORY) ||
+        BkRawSection_Has(section, BK_RAW_FENCING)) {
+        BkRawKey key = BkRawSection_Has(section, BK_RAW_MEMORY)
+                           ? BK_RAW_MEMORY
+                           : BK_RAW_FENCING;
+        return BkRawBundle_Fail(&builder->raw, section, key,
+                                "is only for kind = engine");
+    }
+    if (!BkRawSection_Has(section, BK_RAW_SERVES)) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_SERVES,
+                                "missing; a service must state it");
+    }
+    return read_list(builder, section, BK_RAW_SERVES, true, &upstream->serves,
+                     &upstream->serves_count);
+}
+
+static BkStatus
+build_upstream(Builder *builder, const BkRawSection *section,
+               BkUpstream *upstream)
+{
+    BkStr addr = BkRawSection_Value(section, BK_RAW_ADDR);
+    BkStatus status = read_kind(builder, section, upstream);
+
+    upstream->name = BkStr_Dup(section->name);
+    upstream->key = BkBundle_Key(section->name);
+    upstream->slots = DEFAULT_SLOTS;
+    if (status == BK_OK && BkSettings_ParseAddr(addr) != BK_OK) {
+        status =
+            BkRawBundle_Fail(&builder->raw, section, BK_RAW_ADDR,
+                             "must be a numeric address like 10.0.0.5:9000");
+    }
+    upstream->addr = BkStr_Dup(addr);
+    if (status == BK_OK) {
+        status = read_word(builder, section, BK_RAW_DOMAIN, &upstream->domain);
+    }
+    if (status == BK_OK) {
+        status = read_number(builder, section, BK_RAW_SLOTS, MAX_SLOTS,
+                             &upstream->slots);
+    }
+    if (status != BK_OK) {
+        return status;
+    }
+    return upstream->kind == BK_UPSTREAM_ENGINE
+               ? build_engine(builder, section, upstream)
+               : build_service(builder, section, upstream);
+}
+
+static BkStatus
+build_caller(Builder *builder, const BkRawSection *section,
+             BkCallerSpec *caller)
+{
+    BkStr token = BkRawSection_Value(section, BK_RAW_TOKEN);
+    BkStr allow = BkRawSection_Value(section, BK_RAW_ALLOW);
+
+    caller->name = BkStr_Dup(section->name);
+    caller->share = 1;
+    if (BkDigest_Parse(token, caller->token) != BK_OK) {
+        return BkRawBundle_Fail(&builder->raw, section, BK_RAW_TOKEN,
+                                "must be the BLAKE2b-256 of the token, as %d "
+                                "hex digits",
+                                BK_DIGEST_BYTES * 2);
+    }
+    BkStatus status =
+        read_number(builder, section, BK_RAW_SHARE, MAX_SHARE, &caller->share);
+    if (status != BK_OK) {
+        return status;
+    }
+    caller->all = BkStr_Equal(allow, BK_STR("*"));
+    if (caller->all) {
+        return BK_OK;
+    }
+    return read_list(builder, section, BK_RAW_ALLOW, false, &caller->allow,
+                     &caller->allow_count);
+}
+
+/* the bundle itself, items, upstreams, callers */
+static int
+group_of(BkRawKind kind)
+{
+    switch (kind) {
+    case BK_RAW_BUNDLE:
+        return 0;
+    case BK_RAW_MODEL:
+    case BK_RAW_ADAPTER:
+    case BK_RAW_SERVICE:
+        return 1;
+    case BK_RAW_UPSTREAM:
+        return 2;
+    case BK_RAW_CALLER:
+    case BK_RAW_KINDS:
+        break;
+    }
+    return 3;
+}
+
+static int
+compare_sections(const void *a, const void *b)
+{
+    const BkRawSection *left = *(const BkRawSection *const *)a;
+    const BkRawSection *right = *(const BkRawSection *const *)b;
+    int order = group_of(left->kind) - group_of(right->kind);
+
+    if (order == 0) {
+        order = BkStr_Compare(left->name, right->name);
+    }
+    return order != 0 ? order : left->line - right->line;
+}
+
+static BkStatus
+check_duplicates(const BkRawBundle *raw, const BkRawSection **sorted)
+{
+    for (int i = 1; i < raw->count; i++) {
+        const BkRawSection *first = sorted[i - 1];
+        if (group_of(first->kind) == group_of(sorted[i]->kind) &&
+            BkStr_Equal(first->name, sorted[i]->name)) {
+            return BkRawBundle_FailSection(raw, sorted[i],
+                                           "the name is taken by [%s] in line "
+                                           "%d",
+                                           first->title, first->line);
+        }
+    }
+    if (raw->count == 0 || sorted[0]->kind != BK_RAW_BUNDLE) {
+        return BkErr_Set(BK_EBUNDLE, "%s: [bundle] name: missing", raw->where);
+    }
+    return BK_OK;
+}
+
+static void
+make_room(Builder *builder)
+{
+    size_t room = (size_t)builder->raw.count;
+    BkBundle *bundle = builder->bundle;
+
+    bundle->items = BkMem_New(room, sizeof(BkItem));
+    bundle->upstreams = BkMem_New(room, sizeof(BkUpstream));
+    bundle->upstreams_by_key = BkMem_New(room, sizeof(int));
+    bundle->callers = BkMem_New(room, sizeof(BkCallerSpec));
+    builder->origin.raw = &builder->raw;
+    builder->origin.items = BkMem_New(room, sizeof(BkRawSection *));
+    builder->origin.upstreams = BkMem_New(room, sizeof(BkRawSection *));
+    builder->origin.callers = BkMem_New(room, sizeof(BkRawSection *));
+}
+
+static BkStatus
+build_section(Builder *builder, const BkRawSection *section)
+{
+    BkBundle *bundle = builder->bundle;
+    int at;
+
+    switch (section->kind) {
+    case BK_RAW_BUNDLE:
+        bundle->note = BkStr_Dup(BkRawSection_Value(section, BK_RAW_NOTE));
+        return read_word(builder, section, BK_RAW_NAME, &bundle->name);
+    case BK_RAW_MODEL:
+    case BK_RAW_ADAPTER:
+    case BK_RAW_SERVICE:
+        at = bundle->item_count++;
+        builder->origin.items[at] = section;
+        return build_item(builder, section, &bundle->items[at]);
+    case BK_RAW_UPSTREAM:
+        at = bundle->upstream_count++;
+        bundle->upstreams_by_key[at] = at;
+        builder->origin.upstreams[at] = section;
+        return build_upstream(builder, section, &bundle->upstreams[at]);
+    case BK_RAW_CALLER:
+    case BK_RAW_KINDS:
+        break;
+    }
+    at = bundle->caller_count++;
+    builder->origin.callers[at] = section;
+    return build_caller(builder, section, &bundle->callers[at]);
+}
+
+static int
+compare_keys(const void *a, const void *b, void *arg)
+{
+    const BkBundle *bundle = arg;
+    uint32_t left = bundle->upstreams[*(const int *)a].key;
+    uint32_t right = bundle->upstreams[*(const int *)b].key;
+
+    return (left > right) - (left < right);
+}
+
+static BkStatus
+build_bundle(Builder *builder, const BkRawSection **sorted)
+{
+    BkBundle *bundle = builder->bundle;
+    BkStatus status = check_duplicates(&builder->raw, sorted);
+    bool bases_resolved = false;
+
+    make_room(builder);
+    for (int i = 0; i < builder->raw.count && status == BK_OK; i++) {
+        /* lists of the groups behind the items refer to the items */
+        if (!bases_resolved && group_of(sorted[i]->kind) > 1) {
+            status = resolve_bases(builder);
+            bases_resolved = true;
+        }
+        if (status == BK_OK) {
+            status = build_section(builder, sorted[i]);
+        }
+    }
+    if (status == BK_OK && !bases_resolved) {
+        status = resolve_bases(builder);
+    }
+    qsort_r(bundle->upstreams_by_key, (size_t)bundle->upstream_count,
+            sizeof(int), compare_keys, bundle);
+    return status == BK_OK ? BkBundleCheck_Whole(bundle, &builder->origin)
+                           : status;
+}
+
+static BkStatus
+parse_text(Builder *builder, const char *where, BkStr text)
+{
+    BkStatus status = BkRawBundle_Read(&builder->raw, where, text);
+
+    if (status != BK_OK) {
+        return status;
+    }
+    const BkRawSection **sorted =
+        BkMem_New((size_t)builder->raw.count, sizeof(BkRawSection *));
+    for (int i = 0; i < builder->raw.count; i++) {
+        sorted[i] = &builder->raw.sections[i];
+    }
+    qsort(sorted, (size_t)builder->raw.count, sizeof(BkRawSection *),
+          compare_sections);
+    status = build_bundle(builder, sorted);
+    free(sorted);
+    return status;
+}
+
+BkBundle *
+BkBundle_Parse(const char *where, BkStr text, BkStatus *status)
+{
+    Builder builder = {.bundle = BkMem_New(1, sizeof(BkBundle))};
+    BkBundle *bundle = builder.bundle;
+
+    *status = parse_text(&builder, where, text);
+    BkRawBundle_Destroy(&builder.raw);
+    free(builder.origin.items);
+    free(builder.origin.upstreams);
+    free(builder.origin.callers);
+    if (*status != BK_OK) {
+        BkBundle_Destroy(bundle);
+        return NULL;
+    }
+    bundle->text = BkStr_Dup(text);
+    bundle->text_len = text.len;
+    crypto_generichash(bundle->digest, sizeof(bundle->digest),
+                       (const unsigned char *)text.ptr, text.len, NULL, 0);
+    return bundle;
+}
+
+void
+BkBundle_Destroy(BkBundle *bundle)
+{
+    if (bundle == NULL) {
+        return;
+    }
+    for (int i = 0; i < bundle->item_count; i++) {
+        free(bundle->items[i].name);
+        free(bundle->items[i].version);
+    }
+    for (int i = 0; i < bundle->upstream_count; i++) {
+        free(bundle->upstreams[i].name);
+        free(bundle->upstreams[i].addr);
+        free(bundle->upstreams[i].domain);
+        free(bundle->upstreams[i].serves);
+    }
+    for (int i = 0; i < bundle->caller_count; i++) {
+        free(bundle->callers[i].name);
+        free(bundle->callers[i].allow);
+    }
+    free(bundle->items);
+    free(bundle->upstreams);
+    free(bundle->upstreams_by_key);
+    free(bundle->callers);
+    free(bundle->name);
+    free(bundle->note);
+    free(bundle->text);
+    free(bundle);
+}
--- /dev/null
+++ b/tests/unit/test_bundle.c
@@ -0,0 +1,189 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/bundle/bundle.h"
+#include "script.h"
+
+/* + LINE adds a line, +> LINE an indented one; keep makes the lines so far
+ * the start of each text; parse parses them. */
+typedef struct Texts {
+    BkBuf kept;
+    BkBuf text;
+} Texts;
+
+static void
+add_line(BkBuf *text, const char *start, char **words, int count)
+{
+    BkBuf_Printf(text, "%s", start);
+    for (int i = 1; i < count; i++) {
+        BkBuf_Printf(text, "%s%s", i > 1 ? " " : "", words[i]);
+    }
+    BkBuf_Printf(text, "\n");
+}
+
+static const char *
+item_name(const BkBundle *bundle, int item)
+{
+    return item < 0 ? "-" : bundle->items[item].name;
+}
+
+static void
+print_bundle(const BkBundle *bundle, BkBuf *out)
+{
+    BkBuf_Printf(out, "%s (%s)\n", bundle->name, bundle->note);
+    for (int i = 0; i < bundle->item_count; i++) {
+        const BkItem *item = &bundle->items[i];
+        BkBuf_Printf(out, "item %s kind %d v%s %llu B x%d base %s%s\n",
+                     item->name, item->kind, item->version,
+                     (unsigned long long)item->bytes, item->copies,
+                     item_name(bundle, item->base),
+                     item->repeatable ? "" : " once");
+    }
+    for (int i = 0; i < bundle->upstream_count; i++) {
+        const BkUpstream *up = &bundle->upstreams[i];
+        BkBuf_Printf(out, "upstream %s kind %d %s in %s %llu B x%d%s",
+                     up->name, up->kind, up->addr, up->domain,
+                     (unsigned long long)up->memory, up->slots,
+                     up->fencing ? " fencing" : "");
+        for (int s = 0; s < up->serves_count; s++) {
+            BkBuf_Printf(out, " %s", item_name(bundle, up->serves[s]));
+        }
+        BkBuf_Printf(out, "\n");
+    }
+    for (int i = 0; i < bundle->caller_count; i++) {
+        const BkCallerSpec *caller = &bundle->callers[i];
+        BkBuf_Printf(out, "caller %s share %d%s", caller->name, caller->share,
+                     caller->all ? " all" : "");
+        for (int a = 0; a < caller->allow_count; a++) {
+            BkBuf_Printf(out, " %s", item_name(bundle, caller->allow[a]));
+        }
+        BkBuf_Printf(out, "\n");
+    }
+}
+
+/* every lookup finds what it should, and nothing else */
+static void
+check_lookups(const BkBundle *bundle)
+{
+    for (int i = 0; i < bundle->item_count; i++) {
+        BkStr name = BkStr_FromC(bundle->items[i].name);
+        ck_assert_int_eq(BkBundle_FindItem(bundle, name), i);
+    }
+    for (int i = 0; i < bundle->upstream_count; i++) {
+        const BkUpstream *up = &bundle->upstreams[i];
+        ck_assert_int_eq(BkBundle_FindUpstream(bundle, BkStr_FromC(up->name)),
+                         i);
+        ck_assert_int_eq(BkBundle_FindUpstreamKey(bundle, up->key), i);
+        ck_assert_int_eq(BkBundle_FindUpstreamKey(bundle, up->key + 1), -1);
+    }
+    ck_assert_int_eq(BkBundle_FindItem(bundle, BK_STR("zz")), -1);
+    ck_assert_int_eq(BkBundle_FindUpstream(bundle, BK_STR("")), -1);
+    ck_assert_int_eq(BkBundle_FindCaller(bundle, BK_STR("nobody")), -1);
+}
+
+static void
+parse_text(Texts *texts, BkBuf *out)
+{
+    BkStatus status;
+    BkBundle *bundle =
+        BkBundle_Parse("b.ini", BkBuf_Str(&texts->text), &status);
+
+    if (bundle == NULL) {
+        BkBuf_Printf(out, "%s %s\n", BkStatus_Info(status)->name,
+                     BkErr_Last());
+    }
+    else {
+        print_bundle(bundle, out);
+        check_lookups(bundle);
+    }
+    BkBundle_Destroy(bundle);
+    BkBuf_Clear(&texts->text);
+    BkBuf_Append(&texts->text, BkBuf_Str(&texts->kept));
+}
+
+static void
+run_bundle(char **words, int count, BkBuf *out, void *arg)
+{
+    Texts *texts = arg;
+
+    if (strcmp(words[0], "+") == 0) {
+        add_line(&texts->text, "", words, count);
+    }
+    else if (strcmp(words[0], "+>") == 0) {
+        add_line(&texts->text, "    ", words, count);
+    }
+    else if (strcmp(words[0], "keep") == 0) {
+        BkBuf_Append(&texts->kept, BkBuf_Str(&texts->text));
+    }
+    else if (strcmp(words[0], "parse") == 0) {
+        parse_text(texts, out);
+    }
+}
+
+START_TEST(test_script)
+{
+    Texts texts = {BkBuf_Make(0), BkBuf_Make(0)};
+
+    BkScript_Run("bundle", run_bundle, &texts);
+    BkBuf_Destroy(&texts.kept);
+    BkBuf_Destroy(&texts.text);
+}
+END_TEST
+
+START_TEST(test_callers)
+{
+    static const char text[] =
+        "[bundle]\nname = b\n"
+        "[service watering]\nrepeatable = no\n[service log]\nrepeatable=yes\n"
+        "[upstream app-1]\nkind = service\naddr = 10.0.0.1:1\ndomain = a\n"
+        "serves = log watering\n"
+        /* BLAKE2b-256 of "secret" */
+        "[caller stall]\ntoken = "
+        "ae4aafb3c7d8616b739f05a30d06b4e2236fdea712168159f346e8a3efd57d9e\n"
+        "allow = log\n";
+    BkStatus status;
+    BkBundle *bundle = BkBundle_Parse("b", BkStr_FromC(text), &status);
+
+    ck_assert_msg(bundle != NULL, "%s", BkErr_Last());
+    int caller = BkBundle_FindCaller(bundle, BK_STR("secret"));
+    ck_assert_int_eq(caller, 0);
+    ck_assert(BkBundle_Allows(bundle, caller,
+                              BkBundle_FindItem(bundle, BK_STR("log"))));
+    ck_assert(!BkBundle_Allows(bundle, caller,
+                               BkBundle_FindItem(bundle, BK_STR("watering"))));
+    BkBundle_Destroy(bundle);
+}
+END_TEST
+
+START_TEST(test_limits)
+{
+    char *large = BkMem_New(BK_BUNDLE_MAX_BYTES + 1, 1);
+    BkStatus status;
+
+    memset(large, '#', BK_BUNDLE_MAX_BYTES + 1);
+    ck_assert_ptr_null(
+        BkBundle_Parse("b", (BkStr){large, BK_BUNDLE_MAX_BYTES + 1}, &status));
+    ck_assert_int_eq(status, BK_ETOOBIG);
+    ck_assert_ptr_null(BkBundle_Parse("b", (BkStr){"[x]\0", 4}, &status));
+    ck_assert_int_eq(status, BK_EBUNDLE);
+    free(large);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("bundle");
+    TCase *tcase = tcase_create("bundle");
+
+    tcase_add_test(tcase, test_script);
+    tcase_add_test(tcase, test_callers);
+    tcase_add_test(tcase, test_limits);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
