--- a/tests/unit/test_bundle.c
+++ b/tests/unit/test_bundle.c
@@ -1,8 +1,12 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #include "bk/bundle/bundle.h"
+#include "bk/bundle/signature.h"
 #include "script.h"
 
 /* + LINE adds a line, +> LINE an indented one; keep makes the lines so far
@@ -171,6 +175,48 @@
 }
 END_TEST
 
+static BkStatus
+verify(const unsigned char *digest, const char *signature, const char *signer,
+       const char *signers)
+{
+    return BkSign_Verify(digest, BkStr_FromC(signature), BkStr_FromC(signer),
+                         BkStr_FromC(signers));
+}
+
+START_TEST(test_signature)
+{
+    char dir[] = "/tmp/bk-key-XXXXXX";
+    char path[64];
+    char signature[BK_SIGNATURE_HEX];
+    char signer[BK_SIGNER_HEX];
+    char made[BK_SIGNER_HEX];
+    char signers[2 * BK_SIGNER_HEX + 8];
+    unsigned char digest[BK_DIGEST_BYTES] = {1, 2, 3};
+
+    ck_assert_ptr_nonnull(mkdtemp(dir));
+    snprintf(path, sizeof(path), "%s/key", dir);
+    ck_assert_int_eq(BkSign_NewKey(path, made), BK_OK);
+    /* never over an existing key */
+    ck_assert_int_eq(BkSign_NewKey(path, made), BK_EIO);
+    ck_assert_int_eq(BkSign_Make(path, digest, signature, signer), BK_OK);
+    memset(made, '0', sizeof(made) - 1);
+    snprintf(signers, sizeof(signers), "%s  %s", made, signer);
+    ck_assert_int_eq(verify(digest, signature, signer, signers), BK_OK);
+    ck_assert_int_eq(verify(digest, signature, signer, made), BK_ESIGNATURE);
+    ck_assert_int_eq(verify(digest, signature, signer, ""), BK_ESIGNATURE);
+    ck_assert_int_eq(verify(digest, "", signer, signers), BK_ESIGNATURE);
+    ck_assert_int_eq(verify(digest, signature, made, signers), BK_ESIGNATURE);
+    digest[0]++;
+    ck_assert_int_eq(verify(digest, signature, signer, signers),
+                     BK_ESIGNATURE);
+    chmod(path, 0640);
+    ck_assert_int_eq(BkSign_Make(path, digest, signature, signer),
+                     BK_ESIGNATURE);
+    unlink(path);
+    rmdir(dir);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -180,6 +226,7 @@
     tcase_add_test(tcase, test_script);
     tcase_add_test(tcase, test_callers);
     tcase_add_test(tcase, test_limits);
+    tcase_add_test(tcase, test_signature);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
     srunner_run_all(runner, CK_NORMAL);
