route, place: add the first version of both

Routing: reported load plus own sends since, two random choices among the usable copies, prefix affinity by rendezvous hash with a load bound, deadline-aware admission; the copies of an item come from an index that follows the instance lists, so a choice costs O(copies of the item). Placement: the least copies first (lost ones ahead of all), make before break, last ready copy kept, bases kept under their adapters, room made by dropping surplus, then old versions, then by a swap; demand copies are weighed against the price of a move.

--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -15,6 +15,7 @@
 #include "bk/view/view.h"
 
 #define BK_ROUTE_MAX_TRIED 8
+#define BK_ROUTE_REFRESH ((BkMs)50)
 
 typedef enum BkRoutePolicy {
     BK_ROUTE_CORRECTED, /* lagged load corrected by own sends, two choices,
@@ -28,16 +29,31 @@
     BkRoutePolicy policy;
     BkMs stale_after;      /* an observation older than this is not used */
     BkMs service_time;     /* estimate of one request on a free slot */
+    BkMs first_byte;       /* from a free slot to the first byte of answer */
     double affinity_slack; /* how much fuller than the mean a copy may be
                               and still be chosen for its prefix */
+    bool admit_all;        /* baseline: no refusal for lateness */
 } BkRouteConf;
 
+typedef struct BkRouteIndex BkRouteIndex;
+
 typedef struct BkRoute {
     BkRouteConf conf;
     BkRng rng;
-    uint32_t turn; /* of round robin */
+    uint32_t turn;       /* of round robin */
+    BkRouteIndex *index; /* made on first use */
 } BkRoute;
 
+/* Frees the index; the route may be used again. */
+void BkRoute_Destroy(BkRoute *route);
+
+/*
+ * The copies of an item are found by an index, so that a choice costs the
+ * same whatever the number of upstreams and models. It follows the view by
+ * itself within BK_ROUTE_REFRESH; call this to have it at once.
+ */
+void BkRoute_Refresh(BkRoute *route, const BkView *view, BkMs now);
+
 typedef struct BkRouteQuery {
     int item;             /* index in the bundle */
     uint64_t prefix_hash; /* of the prompt's head; 0: none */
--- /dev/null
+++ b/src/place/room.c
@@ -0,0 +1,231 @@
+/* targets of loads, and room made for them */
+#include "state.h"
+
+#include <string.h>
+
+#define SAME_DOMAIN_COST 100.0
+#define KEEP_ADAPTERS_WORTH 10.0 /* new base version beside its adapters */
+#define MEMORY_WEIGHT 0.5        /* of memory use against slot use */
+
+static double
+memory_use(const PlaceState *state, int up)
+{
+    double memory = (double)state->in->bundle->upstreams[up].memory;
+
+    return memory > 0 ? 1 - (double)state->ups[up].room / memory : 1;
+}
+
+/* adapters on the upstream whose base this item is */
+static bool
+has_adapters_of(const PlaceState *state, int item, int up)
+{
+    int at = state->ups[up].first;
+
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (copy->item != NONE && !copy->going &&
+            place_item(state, copy->item)->base == item) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static double
+target_cost(const PlaceState *state, int item, int up)
+{
+    const PlaceUp *place = &state->ups[up];
+    double cost = place->slots > 0 ? place->use / place->slots : 0;
+
+    cost += MEMORY_WEIGHT * memory_use(state, up);
+    if (place_in_domain(state, item, place_domain(state, up), NONE)) {
+        cost += SAME_DOMAIN_COST;
+    }
+    if (has_adapters_of(state, item, up)) {
+        cost -= KEEP_ADAPTERS_WORTH;
+    }
+    return cost;
+}
+
+int
+place_pick_target(const PlaceState *state, int item)
+{
+    uint64_t bytes = place_item(state, item)->bytes;
+    int best = NONE;
+    double least = 0;
+
+    for (int up = 0; up < state->up_count; up++) {
+        if (state->ups[up].room < bytes || !place_accepts(state, item, up)) {
+            continue;
+        }
+        double cost = target_cost(state, item, up);
+        if (best == NONE || cost < least) {
+            best = up;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+uint64_t
+place_evictable(const PlaceState *state, int up, PlaceLevel level, int *moves)
+{
+    uint64_t bytes = 0;
+    int at = state->ups[up].first;
+
+    *moves = 0;
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        if (place_can_unload(state, at, level)) {
+            bytes += state->copies[at].bytes;
+            (*moves)++;
+        }
+    }
+    return bytes;
+}
+
+/* least wanted first: not in force, old, then least demanded per byte */
+static double
+copy_worth(const PlaceState *state, const PlaceCopy *copy)
+{
+    if (copy->item == NONE || !copy->current) {
+        return -1;
+    }
+    const PlaceItem *item = &state->items[copy->item];
+    return item->demand / (item->ready > 0 ? item->ready : 1);
+}
+
+static int
+pick_victim(const PlaceState *state, int up, PlaceLevel level)
+{
+    int best = NONE;
+    int at = state->ups[up].first;
+
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (place_can_unload(state, at, level) &&
+            (best == NONE || copy_worth(state, copy) <
+                                 copy_worth(state, &state->copies[best]))) {
+            best = at;
+        }
+    }
+    return best;
+}
+
+/* unloads until the item will fit; what is being unloaded counts */
+static bool
+evict(PlaceState *state, int up, uint64_t bytes, PlaceLevel level)
+{
+    while (state->ups[up].room + state->ups[up].pending < bytes) {
+        int victim = pick_victim(state, up, level);
+        if (victim == NONE ||
+            !place_plan_unload(state, victim, "makes room")) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool
+may_host(const PlaceState *state, int item, int up)
+{
+    return place_accepts(state, item, up) &&
+           state->in->bundle->upstreams[up].memory >=
+               place_item(state, item)->bytes;
+}
+
+/* the upstream where the fewest unloads make enough room */
+static int
+pick_eviction(const PlaceState *state, int item, PlaceLevel level)
+{
+    uint64_t bytes = place_item(state, item)->bytes;
+    int best = NONE;
+    double least = 0;
+
+    for (int up = 0; up < state->up_count; up++) {
+        const PlaceUp *place = &state->ups[up];
+        int moves;
+        if (!may_host(state, item, up)) {
+            continue;
+        }
+        uint64_t reach = place_evictable(state, up, level, &moves);
+        if (reach + place->room + place->pending < bytes) {
+            continue;
+        }
+        bool waits = place->room + place->pending >= bytes;
+        double cost = target_cost(state, item, up) + (waits ? 0 : moves);
+        if (best == NONE || cost < least) {
+            best = up;
+            least = cost;
+        }
+    }
+    return best;
+}
+
+/* a swap: a copy on up is made elsewhere, to be unloaded from up later */
+static bool
+start_swap(PlaceState *state, int up)
+{
+    int best = NONE;
+    int target = NONE;
+    int at = state->ups[up].first;
+
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        bool movable = copy->item != NONE && copy->loaded && copy->ready &&
+                       copy->current && !copy->going;
+        if (!movable || has_adapters_of(state, copy->item, up) ||
+            (best != NONE && copy->bytes <= state->copies[best].bytes)) {
+            continue;
+        }
+        /* one that is being made elsewhere already is waited for */
+        if (state->items[copy->item].have >
+            state->items[copy->item].ready_current) {
+            return false;
+        }
+        int found = place_pick_target(state, copy->item);
+        if (found != NONE && found != up) {
+            best = at;
+            target = found;
+        }
+    }
+    return best != NONE &&
+           place_plan_load(state, state->copies[best].item, target,
+                           "swaps places to make room");
+}
+
+/* where the most room can be made, though not enough */
+static int
+pick_swap(const PlaceState *state, int item, PlaceLevel level)
+{
+    int best = NONE;
+    uint64_t most = 0;
+
+    for (int up = 0; up < state->up_count; up++) {
+        int moves;
+        if (!may_host(state, item, up)) {
+            continue;
+        }
+        uint64_t reach = place_evictable(state, up, level, &moves) +
+                         state->ups[up].room + state->ups[up].pending;
+        if (best == NONE || reach > most) {
+            best = up;
+            most = reach;
+        }
+    }
+    return best;
+}
+
+bool
+place_make_room(PlaceState *state, int item, PlaceLevel level)
+{
+    uint64_t bytes = place_item(state, item)->bytes;
+
+    for (int i = LEVEL_SURPLUS; i <= (int)level; i++) {
+        int up = pick_eviction(state, item, (PlaceLevel)i);
+        if (up != NONE) {
+            return evict(state, up, bytes, (PlaceLevel)i);
+        }
+    }
+    int up = pick_swap(state, item, level);
+    return up != NONE && start_swap(state, up);
+}
--- /dev/null
+++ b/src/route/index.h
@@ -0,0 +1,27 @@
+/*
+ * index - item to upstreams with a ready copy
+ *
+ * Kept beside the view; an upstream is looked at again when its instance
+ * list has changed.
+ */
+#ifndef BK_ROUTE_INDEX_H
+#define BK_ROUTE_INDEX_H
+
+#include "bk/route/route.h"
+
+typedef struct IndexCopy {
+    int up;
+    bool wanted; /* has the version in force */
+} IndexCopy;
+
+typedef struct IndexList {
+    IndexCopy *copies;
+    int count;
+    int cap;
+} IndexList;
+
+/* The copies of an item; refreshes the index when it is due. */
+const IndexList *route_copies(BkRoute *route, const BkView *view, int item,
+                              BkMs now);
+
+#endif
--- /dev/null
+++ b/src/route/route.c
@@ -0,0 +1,264 @@
+#include "bk/route/route.h"
+
+#include <math.h>
+#include <xxhash.h>
+
+#include "index.h"
+
+#define NO_COPY_RETRY ((BkMs)1000) /* when no copy can be used */
+#define LEAST_RETRY ((BkMs)50)
+
+enum {
+    MAX_COPIES = 64 /* of an item that are looked at for one request */
+};
+
+/* the usable copies of one item */
+typedef struct Candidates {
+    int ups[MAX_COPIES];
+    int count;
+} Candidates;
+
+static int
+slots_of(const BkView *view, int up)
+{
+    int slots = view->bundle->upstreams[up].slots;
+
+    return slots > 0 ? slots : 1;
+}
+
+/* the report, plus what was sent since; never below what this daemon knows
+ * to be in progress */
+static int
+corrected_load(const BkView *view, int up)
+{
+    const BkUpView *seen = &view->ups[up];
+    int load = seen->running + seen->waiting + seen->sent_since;
+
+    return load > seen->own_running ? load : seen->own_running;
+}
+
+static double
+fullness(const BkView *view, int up)
+{
+    return (double)corrected_load(view, up) / slots_of(view, up);
+}
+
+BkMs
+BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up)
+{
+    int slots = slots_of(view, up);
+    int ahead = corrected_load(view, up) - slots + 1;
+
+    return ahead <= 0 ? 0 : ahead * route->conf.service_time / slots;
+}
+
+static bool
+was_tried(const BkRouteQuery *query, int up)
+{
+    for (int i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == up) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* starts at a random copy, so that a long list is not cut at one end */
+static void
+collect(BkRoute *route, const BkView *view, const BkRouteQuery *query,
+        const IndexList *list, bool wanted, BkMs now, Candidates *out)
+{
+    int start = 0;
+
+    out->count = 0;
+    if (list->count > MAX_COPIES) {
+        start = (int)BkRng_Below(&route->rng, (uint32_t)list->count);
+    }
+    for (int i = 0; i < list->count && out->count < MAX_COPIES; i++) {
+        const IndexCopy *copy = &list->copies[(start + i) % list->count];
+        if (copy->wanted == wanted && !was_tried(query, copy->up) &&
+            BkView_Usable(view, copy->up, now, route->conf.stale_after)) {
+            out->ups[out->count++] = copy->up;
+        }
+    }
+}
+
+static int
+choose_two(BkRoute *route, const BkView *view, const Candidates *c)
+{
+    if (c->count == 1) {
+        return c->ups[0];
+    }
+    uint32_t a = BkRng_Below(&route->rng, (uint32_t)c->count);
+    uint32_t b = BkRng_Below(&route->rng, (uint32_t)c->count - 1);
+    b += b >= a;
+    double fuller = fullness(view, c->ups[a]) - fullness(view, c->ups[b]);
+    return fuller <= 0 ? c->ups[a] : c->ups[b];
+}
+
+/* the copy that holds this prefix, if it is not much fuller than the mean;
+ * -1 otherwise */
+static int
+choose_prefix(const BkRoute *route, const BkView *view, const Candidates *c,
+              uint64_t prefix)
+{
+    uint64_t best_score = 0;
+    int best = -1;
+    double sum = 0;
+
+    for (int i = 0; i < c->count; i++) {
+        uint32_t key = view->bundle->upstreams[c->ups[i]].key;
+        uint64_t score = XXH64(&key, sizeof(key), prefix);
+        sum += fullness(view, c->ups[i]);
+        if (best < 0 || score > best_score) {
+            best = c->ups[i];
+            best_score = score;
+        }
+    }
+    double bound = sum / c->count * (1 + route->conf.affinity_slack) +
+                   1.0 / slots_of(view, best);
+    return fullness(view, best) <= bound ? best : -1;
+}
+
+static int
+choose_corrected(BkRoute *route, const BkView *view, const Candidates *c,
+                 const BkRouteQuery *query)
+{
+    int up = -1;
+
+    if (query->prefix_hash != 0) {
+        up = choose_prefix(route, view, c, query->prefix_hash);
+    }
+    return up >= 0 ? up : choose_two(route, view, c);
+}
+
+static int
+choose_least_reported(const BkView *view, const Candidates *c)
+{
+    int best = c->ups[0];
+    int least = INT32_MAX;
+
+    for (int i = 0; i < c->count; i++) {
+        const BkUpView *seen = &view->ups[c->ups[i]];
+        if (seen->running + seen->waiting < least) {
+            least = seen->running + seen->waiting;
+            best = c->ups[i];
+        }
+    }
+    return best;
+}
+
+static int
+choose_by_policy(BkRoute *route, const BkView *view, const Candidates *c,
+                 const BkRouteQuery *query)
+{
+    uint32_t count = (uint32_t)c->count;
+
+    switch (route->conf.policy) {
+    case BK_ROUTE_CORRECTED:
+        return choose_corrected(route, view, c, query);
+    case BK_ROUTE_RANDOM:
+        return c->ups[BkRng_Below(&route->rng, count)];
+    case BK_ROUTE_ROUND_ROBIN:
+        return c->ups[route->turn++ % count];
+    case BK_ROUTE_LEAST_REPORTED:
+        return choose_least_reported(view, c);
+    }
+    return c->ups[0];
+}
+
+static int
+choose_shortest_wait(const BkRoute *route, const BkView *view,
+                     const Candidates *c)
+{
+    int best = c->ups[0];
+    BkMs least = BK_MS_NEVER;
+
+    for (int i = 0; i < c->count; i++) {
+        BkMs wait = BkRoute_ExpectedWait(route, view, c->ups[i]);
+        if (wait < least) {
+            least = wait;
+            best = c->ups[i];
+        }
+    }
+    return best;
+}
+
+/* refuses what cannot be on time at any copy */
+static void
+admit(const BkRoute *route, const BkView *view, const Candidates *c,
+      const BkRouteQuery *query, BkMs now, BkRouteChoice *choice)
+{
+    BkMs left = query->deadline - now - route->conf.first_byte;
+
+    choice->status = BK_OK;
+    choice->expected_wait =
+        BkRoute_ExpectedWait(route, view, choice->upstream);
+    if (route->conf.admit_all || choice->expected_wait <= left) {
+        return;
+    }
+    choice->upstream = choose_shortest_wait(route, view, c);
+    choice->expected_wait =
+        BkRoute_ExpectedWait(route, view, choice->upstream);
+    if (choice->expected_wait <= left) {
+        return;
+    }
+    BkMs over = choice->expected_wait - (left > 0 ? left : 0);
+    choice->status = BkErr_Set(BK_EOVERLOAD, "expected wait of %lld ms",
+                               (long long)choice->expected_wait);
+    choice->retry_after = over > LEAST_RETRY ? over : LEAST_RETRY;
+}
+
+BkRouteChoice
+BkRoute_Choose(BkRoute *route, const BkView *view, const BkRouteQuery *query,
+               BkMs now)
+{
+    BkRouteChoice choice = {.status = BK_ENOTREADY, .upstream = -1};
+    const IndexList *list = route_copies(route, view, query->item, now);
+    Candidates candidates;
+
+    collect(route, view, query, list, true, now, &candidates);
+    if (candidates.count == 0) {
+        collect(route, view, query, list, false, now, &candidates);
+    }
+    if (candidates.count == 0) {
+        choice.retry_after = NO_COPY_RETRY;
+        BkErr_Set(BK_ENOTREADY, "no ready copy of %s can be reached",
+                  view->bundle->items[query->item].name);
+        return choice;
+    }
+    choice.upstream = choose_by_policy(route, view, &candidates, query);
+    admit(route, view, &candidates, query, now, &choice);
+    return choice;
+}
+
+void
+BkRoute_Sent(BkView *view, int up)
+{
+    view->ups[up].sent_since++;
+    view->ups[up].own_running++;
+}
+
+void
+BkRoute_Finished(BkView *view, int up)
+{
+    if (view->ups[up].own_running > 0) {
+        view->ups[up].own_running--;
+    }
+}
+
+void
+BkRetryBudget_Earn(BkRetryBudget *budget)
+{
+    budget->tokens = fmin(budget->tokens + budget->per_request, budget->most);
+}
+
+bool
+BkRetryBudget_Spend(BkRetryBudget *budget)
+{
+    if (budget->tokens < 1) {
+        return false;
+    }
+    budget->tokens -= 1;
+    return true;
+}
