ledger: reserve, order, release on proof; lease: claim and renew

Each load order is listed in its entry until it is settled, since a successor's repeat of the same load leaves the first one under way: one sender per entry, as the header had it, would forget the older. Fencing numbers rise with each order of a term, so that a planner can have an engine refuse its own lost orders too.

Ruled out: taking a shown instance, or the answer 'there already', as the answer to a lost order; a doubled order may show once and land once more.

Scripts: ordinary life, lost answer, late load, doubled load, takeover through the row, decode errors; racers, paused holder, lost claim, platform out, release.

--- a/include/bk/ledger/ledger.h
+++ b/include/bk/ledger/ledger.h
@@ -10,11 +10,14 @@
  *    doubled order can never hit another load.
  *  - A row is written only in a transaction that also checks the planner's
  *    term row, so that a deposed planner reserves nothing any more.
- *  - The fencing number of an order is the planner's term.
- *  - An unload needs every earlier load order of the instance to be
+ *  - The fencing number of an order rises with every order of a planner and
+ *    with the term (bk/lease/lease.h), so it also names the send.
+ *  - An unload needs every load order ever sent for the instance to be
  *    settled: it was answered, or the engine refuses older fences and has
- *    seen a newer one, or its sender is gone (BkLedger_Settle). Until then
- *    the instance is pinned: it may serve, it is not unloaded.
+ *    seen a newer one, or its sender says that nothing is in flight, or the
+ *    sender's connection is closed for good and what it left in the network
+ *    has had time to land (BkLedger_Settle). Until then the instance is
+ *    pinned: it may serve, it is not unloaded and its memory stays reserved.
  *  - After an unload the entry stays until the engine's state, asked after
  *    the unload was answered, no longer shows the instance.
  */
@@ -35,16 +38,28 @@
     BK_ENTRY_UNLOAD_ORDERED
 } BkEntryState;
 
+enum {
+    BK_LEDGER_MAX_SENDS = 8 /* unsettled load orders of one instance */
+};
+
+/* A load order that may still land. */
+typedef struct BkSend {
+    char *sender; /* daemon name of the steward */
+    uint64_t epoch;
+    uint64_t fence; /* names this send */
+    BkMs closed_at; /* the engine answered after the sender's connection was
+                       closed for good; not kept in the row */
+} BkSend;
+
 typedef struct BkEntry {
     char *inst; /* instance name */
     char *item;
     char *version;
     uint64_t bytes;
     BkEntryState state;
-    bool unsettled; /* a load order may still land */
-    char *sender;   /* session of the steward that sent it last */
-    uint64_t sender_epoch;
-    uint64_t fence; /* of the last order */
+    bool unsettled; /* send_count is above 0 */
+    BkSend sends[BK_LEDGER_MAX_SENDS];
+    int send_count;
 } BkEntry;
 
 typedef struct BkLedger {
@@ -72,32 +87,57 @@
 bool BkLedger_Holds(const BkLedger *ledger, const BkItem *item);
 
 /*
- * Reserves a new instance of item and returns its entry index.
+ * Reserves a new instance of item, with its first load order about to be
+ * sent, and returns its entry index.
  * ERRORS: -1 with BK_EMEMORY as the message when it does not fit.
  */
 int BkLedger_Reserve(BkLedger *ledger, const BkItem *item, const char *sender,
                      uint64_t epoch, uint64_t fence);
 
-/* The load was answered by the engine: nothing of it is in flight. */
+/* Notes one more load order of the same instance, about to be sent.
+ * ERRORS: BK_ETRYAGAIN if too many are unsettled, BK_EINVAL if it is being
+ * unloaded. */
+BkStatus BkLedger_Resend(BkLedger *ledger, int entry, const char *sender,
+                         uint64_t epoch, uint64_t fence);
+
+/* The load order sent last was answered: it is no longer in flight. */
 void BkLedger_LoadAnswered(BkLedger *ledger, int entry);
 
 /* ERRORS: BK_ETRYAGAIN while an earlier load order is unsettled. */
 BkStatus BkLedger_OrderUnload(BkLedger *ledger, int entry, uint64_t fence);
 
-/* What the engine shows, asked after every order so far was answered or
- * settled. Marks ready ones loaded; drops unloaded ones; drops load orders
- * that were refused. Returns whether anything changed. */
+/*
+ * Takes what the engine shows, asked after every order so far was answered
+ * or settled, or is still listed as unsettled. Marks ready ones loaded;
+ * drops settled ones that are not shown; adopts instances that it does not
+ * know, so that their memory counts. Returns whether anything changed.
+ */
 bool BkLedger_TakeState(BkLedger *ledger, const BkUpView *seen);
 
-/* Who may still have an order in flight. */
+typedef enum BkProofKind {
+    BK_PROOF_NONE,   /* the order may land at any time */
+    BK_PROOF_CLOSED, /* its connection is closed for good; what the network
+                        holds may still land */
+    BK_PROOF_QUIET   /* it is not in flight */
+} BkProofKind;
+
+/* What is known of the send of an order. */
 typedef struct BkSenderProof {
-    bool (*is_gone)(const char *sender, uint64_t epoch, void *arg);
+    /* *since: when CLOSED became known, on this process's clock */
+    BkProofKind (*judge)(const BkSend *send, BkMs *since, void *arg);
     void *arg;
+    BkMs flight_after; /* within which a closed connection's bytes land */
 } BkSenderProof;
 
-/* Settles entries whose sender is proven gone, or whose engine checks
- * fencing and has shown a fence above the order's. Returns the number. */
+/*
+ * Settles load orders by proof. To be called when the engine answered a
+ * state at now that was asked at asked, after BkLedger_TakeState. An order
+ * of a closed connection is settled flight_after after the first such
+ * answer: an engine that was frozen has then worked off what it held.
+ * engine_fence counts only if the engine checks fencing. Returns the number
+ * settled.
+ */
 int BkLedger_Settle(BkLedger *ledger, bool fencing, uint64_t engine_fence,
-                    const BkSenderProof *proof);
+                    const BkSenderProof *proof, BkMs asked, BkMs now);
 
 #endif
--- /dev/null
+++ b/src/lease/lease.c
@@ -0,0 +1,189 @@
+#include "bk/lease/lease.h"
+
+#include <string.h>
+
+enum {
+    FENCE_BITS = 24, /* orders of one term */
+    READS_PER_SPAN = 4
+};
+
+BkLease
+BkLease_Make(const BkLeaseConf *conf, const char *me, uint64_t seed)
+{
+    BkLease lease = {.conf = *conf, .me = me, .changed_at = BK_MS_NEVER};
+
+    lease.rng = BkRng_Make(seed);
+    return lease;
+}
+
+/* up to span more, so that many followers do not act at once */
+static BkMs
+jitter(BkLease *lease, BkMs span)
+{
+    return (BkMs)(BkRng_Unit(&lease->rng) * (double)span);
+}
+
+static BkLeaseAction
+start_action(BkLease *lease, BkLeaseAction action, BkMs now)
+{
+    lease->busy = true;
+    lease->claim_due = false;
+    lease->sent_at = now;
+    return action;
+}
+
+BkLeaseAction
+BkLease_Next(BkLease *lease, BkMs now)
+{
+    if (lease->busy || now < lease->next_at || lease->epoch == 0) {
+        return BK_LEASE_NONE;
+    }
+    if (lease->phase == BK_LEASE_HOLD) {
+        return start_action(lease, BK_LEASE_RENEW, now);
+    }
+    return start_action(
+        lease, lease->claim_due ? BK_LEASE_CLAIM : BK_LEASE_READ, now);
+}
+
+static void
+follow(BkLease *lease)
+{
+    lease->phase = BK_LEASE_FOLLOW;
+    lease->claim_due = false;
+    lease->valid_until = 0;
+}
+
+void
+BkLease_Heard(BkLease *lease, uint64_t term, BkMs at)
+{
+    if (term < lease->term || at == BK_MS_NEVER ||
+        lease->phase == BK_LEASE_HOLD) {
+        return;
+    }
+    if (lease->changed_at != BK_MS_NEVER && at <= lease->changed_at) {
+        return;
+    }
+    lease->term = term;
+    lease->changed_at = at;
+    lease->claim_due = false;
+    BkMs next = at + lease->conf.quiet + jitter(lease, lease->conf.renew);
+    if (next > lease->next_at) {
+        lease->next_at = next;
+    }
+}
+
+static bool
+is_mine(const BkLease *lease, const BkLeaseRows *rows)
+{
+    return rows->term > lease->gave_up && rows->epoch == lease->epoch &&
+           strcmp(rows->holder, lease->me) == 0 && !rows->released;
+}
+
+static bool
+may_claim(const BkLease *lease, const BkLeaseRows *rows, BkMs now)
+{
+    return rows->term == 0 || rows->released ||
+           now - lease->changed_at >= lease->conf.span;
+}
+
+static void
+follow_rows(BkLease *lease, const BkLeaseRows *rows, BkMs now, bool changed)
+{
+    follow(lease);
+    if (changed || lease->changed_at == BK_MS_NEVER) {
+        lease->changed_at = now;
+    }
+    if (may_claim(lease, rows, now)) {
+        lease->claim_due = true;
+        lease->next_at = now;
+        return;
+    }
+    lease->next_at = now + lease->conf.renew / 2 +
+                     jitter(lease, lease->conf.span / READS_PER_SPAN);
+}
+
+void
+BkLease_TookRead(BkLease *lease, const BkLeaseRows *rows, BkMs now)
+{
+    bool changed = rows->beat_version != lease->beat_version ||
+                   rows->term_version != lease->term_version;
+
+    lease->busy = false;
+    lease->term_version = rows->term_version;
+    lease->beat_version = rows->beat_version;
+    lease->term = rows->term;
+    if (is_mine(lease, rows)) {
+        /* the answer of the claim was lost: valid after a renewal only */
+        lease->phase = BK_LEASE_HOLD;
+        lease->next_at = now;
+        return;
+    }
+    follow_rows(lease, rows, now, changed);
+}
+
+void
+BkLease_Claimed(BkLease *lease, uint64_t term_version, uint64_t beat_version)
+{
+    lease->busy = false;
+    lease->phase = BK_LEASE_HOLD;
+    lease->term++;
+    lease->term_version = term_version;
+    lease->beat_version = beat_version;
+    BkLease_Renewed(lease);
+}
+
+void
+BkLease_Renewed(BkLease *lease)
+{
+    lease->busy = false;
+    if (lease->phase != BK_LEASE_HOLD) {
+        return;
+    }
+    lease->valid_until = lease->sent_at + lease->conf.hold;
+    lease->next_at = lease->sent_at + lease->conf.renew;
+}
+
+void
+BkLease_Conflict(BkLease *lease, BkMs now)
+{
+    lease->busy = false;
+    follow(lease);
+    lease->changed_at = now;
+    lease->next_at = now + jitter(lease, lease->conf.renew);
+}
+
+void
+BkLease_Failed(BkLease *lease, BkMs now)
+{
+    lease->busy = false;
+    lease->claim_due = false;
+    lease->next_at =
+        now + lease->conf.renew / 2 + jitter(lease, lease->conf.renew / 2);
+}
+
+bool
+BkLease_Valid(const BkLease *lease, BkMs now)
+{
+    return lease->phase == BK_LEASE_HOLD && now < lease->valid_until;
+}
+
+void
+BkLease_GiveUp(BkLease *lease, BkMs now)
+{
+    lease->gave_up = lease->term;
+    follow(lease);
+    lease->changed_at = now;
+    lease->next_at = now + lease->conf.span;
+}
+
+uint64_t
+BkFence_Make(uint64_t term, uint64_t n)
+{
+    return (term << FENCE_BITS) | n;
+}
+
+uint64_t
+BkFence_Term(uint64_t fence)
+{
+    return fence >> FENCE_BITS;
+}
--- /dev/null
+++ b/tests/unit/test_ledger.c
@@ -0,0 +1,209 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/ledger/ledger.h"
+#include "script.h"
+
+enum {
+    MAX_SHOWN = 8,
+    FLIGHT_AFTER = 100
+};
+
+typedef struct Bench {
+    BkLedger *ledger;
+    char closed[64]; /* sender whose connection is closed */
+    BkMs closed_since;
+    char quiet[64]; /* sender that says that nothing is in flight */
+} Bench;
+
+static uint64_t
+number(const char *word)
+{
+    return strtoull(word, NULL, 10);
+}
+
+static BkProofKind
+judge_send(const BkSend *send, BkMs *since, void *arg)
+{
+    Bench *bench = arg;
+
+    if (strcmp(send->sender, bench->quiet) == 0) {
+        return BK_PROOF_QUIET;
+    }
+    if (strcmp(send->sender, bench->closed) == 0) {
+        *since = bench->closed_since;
+        return BK_PROOF_CLOSED;
+    }
+    return BK_PROOF_NONE;
+}
+
+static void
+print_status(BkBuf *out, BkStatus status)
+{
+    BkBuf_Printf(out, "%s%s%s\n", BkStatus_Info(status)->name,
+                 status == BK_OK ? "" : ": ",
+                 status == BK_OK ? "" : BkErr_Last());
+}
+
+static void
+show(const BkLedger *ledger, BkBuf *out)
+{
+    static const char *const states[] = {"load", "loaded", "unload"};
+
+    BkBuf_Printf(out, "reserved %llu free %llu next %llu\n",
+                 (unsigned long long)BkLedger_Reserved(ledger),
+                 (unsigned long long)BkLedger_Free(ledger),
+                 (unsigned long long)ledger->next);
+    for (int i = 0; i < ledger->count; i++) {
+        const BkEntry *entry = &ledger->entries[i];
+        BkBuf_Printf(out, "  %s %s/%s %s", entry->inst, entry->item,
+                     entry->version, states[entry->state]);
+        for (int k = 0; k < entry->send_count; k++) {
+            BkBuf_Printf(out, " %s@%llu:%llu", entry->sends[k].sender,
+                         (unsigned long long)entry->sends[k].epoch,
+                         (unsigned long long)entry->sends[k].fence);
+        }
+        BkBuf_Printf(out, "\n");
+    }
+}
+
+/* words like e.1=ready=m */
+static void
+take_state(BkLedger *ledger, char **words, int count, BkBuf *out)
+{
+    BkInst insts[MAX_SHOWN] = {0};
+    BkUpView seen = {.insts = insts};
+
+    for (int i = 1; i < count; i++) {
+        BkInst *inst = &insts[seen.inst_count++];
+        char *rest = words[i];
+        inst->name = strsep(&rest, "=");
+        const char *state = strsep(&rest, "=");
+        inst->state = strcmp(state, "ready") == 0     ? BK_INST_READY
+                      : strcmp(state, "loading") == 0 ? BK_INST_LOADING
+                                                      : BK_INST_UNLOADING;
+        inst->item = rest == NULL ? "m" : rest;
+        inst->version = "1";
+        inst->bytes = 3;
+    }
+    BkBuf_Printf(out, "%s\n",
+                 BkLedger_TakeState(ledger, &seen) ? "changed" : "same");
+}
+
+static void
+settle(Bench *bench, char **words, BkBuf *out)
+{
+    BkSenderProof proof = {judge_send, bench, FLIGHT_AFTER};
+    int settled = BkLedger_Settle(
+        bench->ledger, strcmp(words[1], "checked") == 0, number(words[2]),
+        &proof, (BkMs)number(words[3]), (BkMs)number(words[4]));
+
+    BkBuf_Printf(out, "settled %d\n", settled);
+}
+
+static void
+reload(BkLedger *ledger, BkBuf *out)
+{
+    BkBuf text = BkBuf_Make(0);
+
+    BkLedger_Encode(ledger, &text);
+    BkBuf_Printf(out, "%s\n", BkBuf_C(&text));
+    print_status(out, BkLedger_Decode(ledger, BkBuf_Str(&text), 7));
+    BkBuf_Destroy(&text);
+}
+
+static void
+order(BkLedger *ledger, char **words, BkBuf *out)
+{
+    int entry = BkLedger_Find(ledger, BkStr_FromC(words[1]));
+
+    ck_assert_int_ge(entry, 0);
+    if (strcmp(words[0], "resend") == 0) {
+        print_status(out, BkLedger_Resend(ledger, entry, words[2],
+                                          number(words[3]), number(words[4])));
+    }
+    else if (strcmp(words[0], "answered") == 0) {
+        BkLedger_LoadAnswered(ledger, entry);
+        print_status(out, BK_OK);
+    }
+    else {
+        print_status(out, BkLedger_OrderUnload(ledger, entry, 0));
+    }
+}
+
+static void
+reserve(BkLedger *ledger, char **words, BkBuf *out)
+{
+    BkItem item = {.name = words[1], .version = "1", .bytes = 3};
+    int entry = BkLedger_Reserve(ledger, &item, words[2], number(words[3]),
+                                 number(words[4]));
+
+    BkBuf_Printf(out, "%s\n",
+                 entry < 0 ? BkErr_Last() : ledger->entries[entry].inst);
+}
+
+static void
+run_ledger(char **words, int count, BkBuf *out, void *arg)
+{
+    Bench *bench = arg;
+    BkUpstream upstream = {.name = "e", .memory = 10};
+
+    if (strcmp(words[0], "new") == 0) {
+        BkLedger_Destroy(bench->ledger);
+        *bench = (Bench){.ledger = BkLedger_Create(&upstream)};
+    }
+    else if (strcmp(words[0], "show") == 0) {
+        show(bench->ledger, out);
+    }
+    else if (strcmp(words[0], "reserve") == 0) {
+        reserve(bench->ledger, words, out);
+    }
+    else if (strcmp(words[0], "state") == 0) {
+        take_state(bench->ledger, words, count, out);
+    }
+    else if (strcmp(words[0], "closed") == 0) {
+        strcpy(bench->closed, words[1]);
+        bench->closed_since = (BkMs)number(words[2]);
+    }
+    else if (strcmp(words[0], "quiet") == 0) {
+        strcpy(bench->quiet, words[1]);
+    }
+    else if (strcmp(words[0], "settle") == 0) {
+        settle(bench, words, out);
+    }
+    else if (strcmp(words[0], "reload") == 0) {
+        reload(bench->ledger, out);
+    }
+    else if (strcmp(words[0], "decode") == 0) {
+        print_status(out,
+                     BkLedger_Decode(bench->ledger, BkStr_FromC(words[1]), 9));
+    }
+    else {
+        order(bench->ledger, words, out);
+    }
+}
+
+START_TEST(test_script)
+{
+    Bench bench = {0};
+
+    BkScript_Run("ledger", run_ledger, &bench);
+    BkLedger_Destroy(bench.ledger);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("ledger");
+    TCase *tcase = tcase_create("ledger");
+
+    tcase_add_test(tcase, test_script);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
