daemon: read the VM list at the same total rate at any size

At 410 daemons and 800 VMs a list of about 36 KB read by each daemon every 2.6 s would alone be 14 KB/s, over the budget of 11 KB/s (worked out, not measured). The period now grows with the number of known daemons; a change to leaving that a reader sees is spread by gossip.

--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -17,6 +17,7 @@
     POLL_TIMEOUT_MS = 1000,
     MAX_STATE_BYTES = 256 * 1024,
     MAX_DRAINS = 500,
+    VM_READERS = 8, /* daemons that read the VM list in one poll_vms */
     URL_BYTES = 128
 };
 
@@ -32,6 +33,7 @@
     BkDaemon *daemon;
     BkTimer *poll_timer;
     BkTimer *vms_timer;
+    BkTimer *drains_timer;
     int polls; /* in flight */
     Vm *vms;
     int vm_count;
@@ -160,11 +162,33 @@
     BkTimer_Start(watch->poll_timer, 0);
 }
 
+/*
+ * The word that a VM leaves is spread by gossip and holds for this start of
+ * the upstream. A daemon whose first list shows a VM as leaving keeps that to
+ * itself: the list lags, and the upstream may have come back since.
+ */
+static void
+mark_leaving(BkUpstreamWatch *watch, const char *name)
+{
+    const BkDaemon *daemon = watch->daemon;
+
+    if (daemon->view == NULL) {
+        return;
+    }
+    int up = BkBundle_FindUpstream(daemon->bundle, BkStr_FromC(name));
+    if (up >= 0) {
+        BkView_SetLeaving(daemon->view, up);
+    }
+}
+
 static void
 take_vm(BkUpstreamWatch *watch, const char *name, bool leaving)
 {
     Vm *vm = find_vm(watch, name);
 
+    if (vm != NULL && vm->listed && !vm->leaving && leaving) {
+        mark_leaving(watch, name);
+    }
     if (vm == NULL) {
         watch->vms =
             BkMem_Grow(watch->vms, (size_t)watch->vm_count + 1, sizeof(Vm));
@@ -246,16 +270,39 @@
     apply_to_view(watch);
 }
 
+static BkMs
+jitter_period(BkDaemon *daemon, BkMs period)
+{
+    return period - period / 4 +
+           (BkMs)BkRng_Below(&daemon->rng, (uint32_t)period / 4 + 1);
+}
+
+/*
+ * The list grows with the system and so do its readers, so each reads it
+ * more rarely the more daemons there are: together they still read it
+ * several times in each poll_vms, and gossip tells the others who leaves.
+ */
 static void
-read_lists(void *arg)
+read_vms(void *arg)
 {
     BkUpstreamWatch *watch = arg;
     BkDaemon *daemon = watch->daemon;
-    BkMs period = daemon->conf->poll_vms;
-    BkMs jitter = (BkMs)BkRng_Below(&daemon->rng, (uint32_t)period / 4 + 1);
+    BkMs share = daemon->peers->count / VM_READERS;
 
-    BkTimer_Start(watch->vms_timer, period - period / 4 + jitter);
+    BkTimer_Start(watch->vms_timer,
+                  jitter_period(daemon, daemon->conf->poll_vms) *
+                      (share < 1 ? 1 : share));
     BkPlat_Vms(daemon->plat, take_vms, watch);
+}
+
+static void
+read_drains(void *arg)
+{
+    BkUpstreamWatch *watch = arg;
+    BkDaemon *daemon = watch->daemon;
+
+    BkTimer_Start(watch->drains_timer,
+                  jitter_period(daemon, daemon->conf->poll_vms));
     BkPlat_List(daemon->plat, BK_STR("drain"), BK_STR(""), BK_STR(""),
                 MAX_DRAINS, take_drains, watch);
 }
@@ -267,9 +314,11 @@
 
     watch->daemon = daemon;
     watch->poll_timer = BkTimer_Create(daemon->loop, poll_some, watch);
-    watch->vms_timer = BkTimer_Create(daemon->loop, read_lists, watch);
+    watch->vms_timer = BkTimer_Create(daemon->loop, read_vms, watch);
+    watch->drains_timer = BkTimer_Create(daemon->loop, read_drains, watch);
     BkTimer_Start(watch->poll_timer, 0);
     BkTimer_Start(watch->vms_timer, 0);
+    BkTimer_Start(watch->drains_timer, 0);
     return watch;
 }
 
@@ -286,6 +335,7 @@
     free(watch->vms);
     BkTimer_Destroy(watch->poll_timer);
     BkTimer_Destroy(watch->vms_timer);
+    BkTimer_Destroy(watch->drains_timer);
     free(watch);
 }
 
