--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 CASE ?=
 
 .PHONY: all setup build check demo proof bench bench-path slopes lint format \
-	sanitize clean
+	sanitize fuzz clean
 
 all: build
 
@@ -48,5 +48,12 @@
 	@ninja -C $(BUILD)-asan --quiet
 	@meson test -C $(BUILD)-asan --print-errorlogs
 
+fuzz: setup
+	@[ -d $(BUILD)-fuzz ] || CC=clang meson setup $(BUILD)-fuzz -Dfuzz=true \
+		-Db_sanitize=address,undefined -Db_lundef=false \
+		-Dc_args=-fsanitize=fuzzer-no-link >/dev/null
+	@ninja -C $(BUILD)-fuzz --quiet
+	@meson test -C $(BUILD)-fuzz --suite fuzz --print-errorlogs
+
 clean:
-	rm -rf $(BUILD) $(BUILD)-asan
+	rm -rf $(BUILD) $(BUILD)-asan $(BUILD)-fuzz
--- a/include/bk/gossip/gossip.h
+++ b/include/bk/gossip/gossip.h
@@ -32,4 +32,8 @@
 BkStatus BkGossip_SendDemand(BkGossip *gossip, const char *to,
                              const bkg_demand *demand);
 
+/* Takes one datagram, as the loop does. False if it is garbage. data is
+ * used as scratch space. */
+bool BkGossip_Take(BkGossip *gossip, char *data, size_t len, const char *from);
+
 #endif
--- a/src/gossip/gossip.c
+++ b/src/gossip/gossip.c
@@ -98,9 +98,8 @@
     return good;
 }
 
-/* one datagram: a call of ours, or garbage */
-static bool
-deliver(BkGossip *gossip, char *data, size_t len, const char *from)
+bool
+BkGossip_Take(BkGossip *gossip, char *data, size_t len, const char *from)
 {
     struct rpc_msg call = {0};
     char cred[MAX_AUTH_BYTES];
@@ -146,7 +145,7 @@
             return;
         }
         format_addr(&from, text, sizeof(text));
-        if (!deliver(gossip, data, (size_t)n, text)) {
+        if (!BkGossip_Take(gossip, data, (size_t)n, text)) {
             BkCounter_Add(gossip->garbage, 1);
         }
     }
