--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -264,6 +264,26 @@
                      key->section, key->key, why);
 }
 
+/* a list may go on in indented lines; an indented key must not vanish */
+static BkStatus
+append_line(const LoadState *load, const BkIniKey *key, int index)
+{
+    char **field = (char **)(load->target + load->specs[index].offset);
+    BkBuf joined = BkBuf_Make(0);
+
+    if (load->specs[index].type != BK_SET_TEXT ||
+        strchr(key->value, '=') != NULL) {
+        return fail_key(load, key,
+                        "an indented line goes on with this key, but only "
+                        "a list may go on");
+    }
+    BkBuf_Printf(&joined, "%s %s", *field, key->value);
+    free(*field);
+    *field = BkStr_Dup(BkBuf_Str(&joined));
+    BkBuf_Destroy(&joined);
+    return BK_OK;
+}
+
 static BkStatus
 take_key(const BkIniKey *key, void *arg)
 {
@@ -278,6 +298,9 @@
         BkBuf_Destroy(&allowed);
         return fail_key(load, key, why);
     }
+    if (load->seen[index] && key->continued) {
+        return append_line(load, key, index);
+    }
     if (load->seen[index]) {
         return fail_key(load, key, "given twice");
     }
--- /dev/null
+++ b/src/ctl/change.c
@@ -0,0 +1,223 @@
+#include "change.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/rng.h"
+
+enum {
+    PAUSE_LEAST = 100, /* ms between two tries */
+    PAUSE_SPREAD = 200,
+    AUDIT_PAGE = 100
+};
+
+static void
+make_audit_key(uint64_t number, char *key)
+{
+    snprintf(key, BK_CTL_AUDIT_KEY, "%016" PRIx64, number);
+}
+
+BkStatus
+BkCtl_ReadNextAudit(BkCtl *ctl, uint64_t *next, uint64_t *row_version)
+{
+    BkCtlRow row;
+    json_int_t number = 1;
+    BkStatus status =
+        BkCtl_Read(ctl, BK_STR("audit-next"), BK_STR("next"), &row);
+
+    if (status == BK_OK && row.version != 0) {
+        json_t *object = json_loads(row.data, 0, NULL);
+        if (json_unpack(object, "{s:I}", "next", &number) != 0 || number < 1) {
+            status = BkErr_Set(BK_EDECODE,
+                               "row audit-next/next is not understood");
+        }
+        json_decref(object);
+    }
+    *next = (uint64_t)number;
+    *row_version = row.version;
+    BkCtlRow_Clear(&row);
+    return status;
+}
+
+static void
+add_ops(BkTxn *txn, const BkChange *change, uint64_t audit_version)
+{
+    BkStr table = BkStr_FromC(change->table);
+    BkStr key = BkStr_FromC(change->key);
+    char audit_key[BK_CTL_AUDIT_KEY];
+    BkBuf text = BkBuf_Make(0);
+
+    BkTxn_Check(txn, table, key, change->row_version);
+    BkTxn_Check(txn, BK_STR("audit-next"), BK_STR("next"), audit_version);
+    if (change->data.len > 0) {
+        BkTxn_Put(txn, table, key, change->data);
+    }
+    else {
+        BkTxn_Delete(txn, table, key);
+    }
+    make_audit_key(change->audit.number, audit_key);
+    BkAuditRow_Encode(&change->audit, &text);
+    BkTxn_Put(txn, BK_STR("audit"), BkStr_FromC(audit_key), BkBuf_Str(&text));
+    BkBuf_Clear(&text);
+    BkBuf_Printf(&text, "{\"next\":%" PRIu64 "}", change->audit.number + 1);
+    BkTxn_Put(txn, BK_STR("audit-next"), BK_STR("next"), BkBuf_Str(&text));
+    BkBuf_Destroy(&text);
+}
+
+static BkStatus
+try_once(BkCtl *ctl, BkChange *change)
+{
+    uint64_t audit_version;
+    BkStatus status =
+        BkCtl_ReadNextAudit(ctl, &change->audit.number, &audit_version);
+
+    if (status != BK_OK) {
+        return status;
+    }
+    BkClock_Format(BkClock_Wall(), change->audit.at, sizeof(change->audit.at));
+    BkTxn *txn = BkTxn_Create();
+    add_ops(txn, change, audit_version);
+    status = BkCtl_Commit(ctl, txn);
+    BkTxn_Destroy(txn);
+    /* an answer that is not understood says nothing about the outcome */
+    return status == BK_EDECODE ? BK_EUNKNOWN : status;
+}
+
+/* whether the row is known to have another version than the change wants */
+static bool
+row_moved(BkCtl *ctl, const BkChange *change)
+{
+    BkCtlRow row;
+    BkStatus status = BkCtl_Read(ctl, BkStr_FromC(change->table),
+                                 BkStr_FromC(change->key), &row);
+    bool moved = status == BK_OK && row.version != change->row_version;
+
+    BkCtlRow_Clear(&row);
+    return moved;
+}
+
+static BkStatus
+give_up(const BkCtl *ctl, bool unknown)
+{
+    if (unknown) {
+        return BkErr_Set(BK_EUNKNOWN,
+                         "outcome unknown: the platform at %s took the change "
+                         "but gave no answer; ask again with the same command",
+                         ctl->conf.platform);
+    }
+    return BkErr_Set(BK_EPLATFORM,
+                     "the platform at %s does not answer; nothing was changed",
+                     ctl->conf.platform);
+}
+
+BkStatus
+BkCtl_Change(BkCtl *ctl, BkChange *change)
+{
+    BkMs deadline = BkClock_Now() + ctl->conf.patience;
+    BkRng rng = BkRng_Make((uint64_t)BkClock_Wall());
+    bool unknown = false;
+
+    for (;;) {
+        BkStatus status = try_once(ctl, change);
+        unknown |= status == BK_EUNKNOWN;
+        switch (status) {
+        case BK_OK:
+        case BK_EDECODE: /* of the audit number, before anything was sent */
+            return status;
+        case BK_ECONFLICT:
+        case BK_EUNKNOWN:
+            if (row_moved(ctl, change)) {
+                return BK_ECONFLICT;
+            }
+            break;
+        default:
+            break;
+        }
+        if (BkClock_Now() >= deadline) {
+            return give_up(ctl, unknown);
+        }
+        BkCtl_Sleep(ctl, PAUSE_LEAST + BkRng_Below(&rng, PAUSE_SPREAD));
+    }
+}
+
+BkStatus
+BkCtl_ListAudit(BkCtl *ctl, uint64_t first, int most, BkAuditList *list)
+{
+    char after[BK_CTL_AUDIT_KEY] = "";
+    BkCtlRows rows;
+
+    *list = (BkAuditList){0};
+    if (first > 1) {
+        make_audit_key(first - 1, after);
+    }
+    BkStatus status =
+        BkCtl_List(ctl, BK_STR("audit"), BkStr_FromC(after), most, &rows);
+    if (status == BK_OK) {
+        list->rows = BkMem_New((size_t)rows.count, sizeof(BkAuditRow));
+    }
+    for (int i = 0; i < rows.count && status == BK_OK; i++) {
+        status = BkAuditRow_Decode(&list->rows[list->count++], &rows.rows[i]);
+    }
+    BkCtlRows_Clear(&rows);
+    return status;
+}
+
+void
+BkAuditList_Clear(BkAuditList *list)
+{
+    for (int i = 0; i < list->count; i++) {
+        BkAuditRow_Clear(&list->rows[i]);
+    }
+    free(list->rows);
+    *list = (BkAuditList){0};
+}
+
+/* looks through a page; *older says whether an earlier roll was passed */
+static bool
+take_roll(BkAuditList *page, uint64_t version, BkAuditRow *out, bool *older)
+{
+    for (int i = page->count - 1; i >= 0; i--) {
+        BkAuditRow *row = &page->rows[i];
+        if (strcmp(row->action, "roll") != 0) {
+            continue;
+        }
+        if (row->version == version) {
+            *out = *row;
+            *row = (BkAuditRow){0};
+            return true;
+        }
+        *older |= row->version < version;
+    }
+    return false;
+}
+
+BkStatus
+BkCtl_FindRoll(BkCtl *ctl, uint64_t version, BkAuditRow *out)
+{
+    uint64_t next;
+    uint64_t row_version;
+    bool found = false;
+    bool older = false;
+    BkStatus status = BkCtl_ReadNextAudit(ctl, &next, &row_version);
+
+    *out = (BkAuditRow){0};
+    while (status == BK_OK && !found && !older && next > 1) {
+        uint64_t first = next > AUDIT_PAGE ? next - AUDIT_PAGE : 1;
+        BkAuditList page;
+        status = BkCtl_ListAudit(ctl, first, (int)(next - first), &page);
+        if (status == BK_OK) {
+            found = take_roll(&page, version, out, &older);
+        }
+        BkAuditList_Clear(&page);
+        next = first;
+    }
+    if (status == BK_OK && !found) {
+        return BkErr_Set(BK_ENOTFOUND,
+                         "no audit entry tells who rolled version %" PRIu64,
+                         version);
+    }
+    return status;
+}
--- /dev/null
+++ b/src/ctl/diff.h
@@ -0,0 +1,26 @@
+/*
+ * diff - how a bundle differs from another one, in numbers
+ */
+#ifndef BK_CTL_DIFF_H
+#define BK_CTL_DIFF_H
+
+#include <jansson.h>
+#include <stdio.h>
+
+#include "bk/bundle/bundle.h"
+
+typedef struct BkBundleDiff {
+    int items_added;
+    int items_removed;
+    int items_changed; /* in kind, version, size, base, copies, repeatable */
+    int upstreams_added;
+    int upstreams_removed;
+} BkBundleDiff;
+
+BkBundleDiff BkBundleDiff_Make(const BkBundle *bundle, const BkBundle *prev);
+
+/* One line, with its line end. */
+void BkBundleDiff_Print(const BkBundleDiff *diff, FILE *out);
+json_t *BkBundleDiff_Json(const BkBundleDiff *diff);
+
+#endif
--- /dev/null
+++ b/src/ctl/log.c
@@ -0,0 +1,79 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "output.h"
+#include "show.h"
+
+enum {
+    LAST_DEFAULT = 20,
+    LAST_MOST = 500
+};
+
+void
+BkCtl_PrintAudit(const BkAuditList *audit)
+{
+    for (int i = 0; i < audit->count; i++) {
+        const BkAuditRow *row = &audit->rows[i];
+        printf("  %" PRIu64 "  %s  %s  %s %s", row->number, row->at, row->by,
+               row->action, row->subject);
+        if (row->version != 0) {
+            printf(" as version %" PRIu64, row->version);
+        }
+        printf(": %s\n", row->why);
+    }
+}
+
+json_t *
+BkCtl_AuditJson(const BkAuditList *audit)
+{
+    json_t *list = json_array();
+
+    for (int i = 0; i < audit->count; i++) {
+        const BkAuditRow *row = &audit->rows[i];
+        json_array_append_new(
+            list, json_pack("{s:I, s:s, s:s, s:s, s:s, s:s, s:I}", "number",
+                            (json_int_t)row->number, "at", row->at, "by",
+                            row->by, "action", row->action, "subject",
+                            row->subject, "why", row->why, "version",
+                            (json_int_t)row->version));
+    }
+    return list;
+}
+
+static BkStatus
+read_last(const BkCtl *ctl, int *last)
+{
+    uint64_t number = LAST_DEFAULT;
+
+    if (ctl->options.last != NULL &&
+        (BkStr_ToU64(BkStr_FromC(ctl->options.last), &number) != BK_OK ||
+         number < 1 || number > LAST_MOST)) {
+        return BkErr_Set(BK_EUSAGE,
+                         "--last: \"%s\" is not a number from 1 to %d",
+                         ctl->options.last, LAST_MOST);
+    }
+    *last = (int)number;
+    return BK_OK;
+}
+
+BkStatus
+BkCtl_Log(BkCtl *ctl, char **words)
+{
+    BkAuditList audit = {0};
+    int last;
+    BkStatus status = read_last(ctl, &last);
+
+    (void)words;
+    if (status == BK_OK) {
+        status = BkCtl_ListLastAudit(ctl, last, &audit);
+    }
+    if (status == BK_OK && ctl->options.json) {
+        BkCtl_PrintJson(json_pack("{s:o}", "audit", BkCtl_AuditJson(&audit)));
+    }
+    else if (status == BK_OK) {
+        BkCtl_PrintAudit(&audit);
+    }
+    BkAuditList_Clear(&audit);
+    return status;
+}
--- /dev/null
+++ b/src/ctl/main.c
@@ -0,0 +1,317 @@
+#include <argp.h>
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ctl.h"
+#include "output.h"
+
+enum {
+    MAX_WORDS = 4,
+    MAX_NAME = 32,
+    OPT_AGAINST = 256,
+    OPT_BY,
+    OPT_CHECK_CONFIG,
+    OPT_JSON,
+    OPT_KEY,
+    OPT_LAST,
+    OPT_MARKDOWN,
+    OPT_REPLACES,
+    OPT_WAIT,
+    OPT_WHY
+};
+
+#define BIT(option) (1U << ((option)-OPT_AGAINST))
+
+typedef struct Command {
+    const char *name;
+    const char *arg;   /* "" if it takes none */
+    unsigned options;  /* beside the global ones */
+    unsigned required; /* among them */
+    bool online;       /* talks to platform and daemons */
+    BkCtlFn run;
+    const char *help;
+} Command;
+
+/* sorted by name */
+static const Command commands[] = {
+    {"bundle check", "FILE", BIT(OPT_AGAINST), 0, false, BkCtl_BundleCheck,
+     "check a bundle, and the way to it from --against FILE"},
+    {"bundle roll", "FILE",
+     BIT(OPT_REPLACES) | BIT(OPT_WHY) | BIT(OPT_WAIT) | BIT(OPT_BY),
+     BIT(OPT_REPLACES) | BIT(OPT_WHY), true, BkCtl_BundleRoll,
+     "bring a signed bundle into force, replacing version N"},
+    {"bundle sign", "FILE", BIT(OPT_KEY), BIT(OPT_KEY), false,
+     BkCtl_BundleSign, "sign a bundle off; writes FILE.sig"},
+    {"codes", "", BIT(OPT_MARKDOWN), 0, false, BkCtl_Codes,
+     "the table of result codes"},
+    {"drain", "UPSTREAM", BIT(OPT_WHY) | BIT(OPT_BY), BIT(OPT_WHY), true,
+     BkCtl_Drain, "give an upstream no new work"},
+    {"handover", "", 0, 0, true, BkCtl_Handover,
+     "one page for the incoming shift"},
+    {"key new", "FILE", 0, 0, false, BkCtl_KeyNew,
+     "make a key for signing bundles"},
+    {"log", "", BIT(OPT_LAST), 0, true, BkCtl_Log, "the audit trail"},
+    {"status", "", 0, 0, true, BkCtl_ShowStatus,
+     "bundle in force, daemons, upstreams"},
+    {"undrain", "UPSTREAM", BIT(OPT_WHY) | BIT(OPT_BY), BIT(OPT_WHY), true,
+     BkCtl_Undrain, "give an upstream work again"},
+};
+
+enum {
+    COMMAND_COUNT = sizeof(commands) / sizeof(commands[0])
+};
+
+static const struct argp_option options[] = {
+    {"config", 'c', "FILE", 0, "settings (/etc/burdockkeel/ctl.ini)", 0},
+    {"check-config", OPT_CHECK_CONFIG, NULL, 0, "check the settings and exit",
+     0},
+    {"json", OPT_JSON, NULL, 0, "print one JSON object", 0},
+    {"against", OPT_AGAINST, "FILE", 0, "bundle that would be replaced", 1},
+    {"by", OPT_BY, "NAME", 0, "who does it, for the audit trail", 1},
+    {"key", OPT_KEY, "FILE", 0, "secret key of the signer", 1},
+    {"last", OPT_LAST, "N", 0, "number of entries (20)", 1},
+    {"markdown", OPT_MARKDOWN, NULL, 0, "print docs/RESULT-CODES.md", 1},
+    {"replaces", OPT_REPLACES, "N", 0,
+     "version in force that is replaced; 0 for the first", 1},
+    {"wait", OPT_WAIT, NULL, 0, "show progress until it is rolled", 1},
+    {"why", OPT_WHY, "TEXT", 0, "the reason, for the audit trail", 1},
+    {0},
+};
+
+/* The command line as read. */
+typedef struct Line {
+    BkCtlOptions options;
+    unsigned given; /* bits of the options that are not global */
+    char *words[MAX_WORDS];
+    int count;
+} Line;
+
+static void
+take_value(Line *line, int key, const char *value)
+{
+    switch (key) {
+    case OPT_AGAINST:
+        line->options.against = value;
+        break;
+    case OPT_BY:
+        line->options.by = value;
+        break;
+    case OPT_KEY:
+        line->options.key = value;
+        break;
+    case OPT_LAST:
+        line->options.last = value;
+        break;
+    case OPT_MARKDOWN:
+        line->options.markdown = true;
+        break;
+    case OPT_REPLACES:
+        line->options.replaces = value;
+        break;
+    case OPT_WAIT:
+        line->options.wait = true;
+        break;
+    default:
+        line->options.why = value;
+        break;
+    }
+}
+
+static error_t
+take_option(int key, char *value, struct argp_state *state)
+{
+    Line *line = state->input;
+
+    switch (key) {
+    case 'c':
+        line->options.config = value;
+        return 0;
+    case OPT_CHECK_CONFIG:
+        line->options.check_config = true;
+        return 0;
+    case OPT_JSON:
+        line->options.json = true;
+        return 0;
+    case ARGP_KEY_ARG:
+        if (line->count == MAX_WORDS) {
+            argp_error(state, "too many words");
+        }
+        line->words[line->count++] = value;
+        return 0;
+    default:
+        break;
+    }
+    if (key < OPT_AGAINST || key > OPT_WHY) {
+        return ARGP_ERR_UNKNOWN;
+    }
+    line->given |= BIT(key);
+    take_value(line, key, value);
+    return 0;
+}
+
+static char *
+list_commands(int key, const char *text, void *input)
+{
+    BkBuf out = BkBuf_Make(0);
+
+    (void)input;
+    if (key != ARGP_KEY_HELP_POST_DOC) {
+        return (char *)text;
+    }
+    BkBuf_Printf(&out, "Commands:\n");
+    for (int i = 0; i < COMMAND_COUNT; i++) {
+        char name[MAX_NAME];
+        snprintf(name, sizeof(name), "%s %s", commands[i].name,
+                 commands[i].arg);
+        BkBuf_Printf(&out, "  %-20s  %s\n", name, commands[i].help);
+    }
+    BkBuf_Printf(&out, "\nThe exit status is a result code: bkctl codes.");
+    return out.ptr;
+}
+
+/* the command whose words the line starts with; *used is their number */
+static const Command *
+find_command(const Line *line, int *used)
+{
+    char name[MAX_NAME * 2] = "";
+
+    for (*used = 1; *used <= line->count && *used <= 2; (*used)++) {
+        const char *first = line->words[0];
+        if (*used == 1) {
+            snprintf(name, sizeof(name), "%s", first);
+        }
+        else {
+            snprintf(name, sizeof(name), "%s %s", first, line->words[1]);
+        }
+        for (int i = 0; i < COMMAND_COUNT; i++) {
+            if (strcmp(commands[i].name, name) == 0) {
+                return &commands[i];
+            }
+        }
+    }
+    return NULL;
+}
+
+static const char *
+option_name(int key)
+{
+    for (int i = 0; options[i].name != NULL; i++) {
+        if (options[i].key == key) {
+            return options[i].name;
+        }
+    }
+    return "";
+}
+
+static BkStatus
+check_options(const Line *line, const Command *command)
+{
+    for (int key = OPT_AGAINST; key <= OPT_WHY; key++) {
+        if ((line->given & BIT(key) & ~command->options) != 0) {
+            return BkErr_Set(BK_EUSAGE, "--%s does not go with %s",
+                             option_name(key), command->name);
+        }
+        if ((command->required & BIT(key) & ~line->given) != 0) {
+            return BkErr_Set(BK_EUSAGE, "%s needs --%s; see bkctl --help",
+                             command->name, option_name(key));
+        }
+    }
+    return BK_OK;
+}
+
+/* texts that go into rows must be JSON strings */
+static BkStatus
+check_texts(const BkCtlOptions *given)
+{
+    const char *texts[] = {given->why, given->by};
+
+    for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
+        json_t *text = texts[i] == NULL ? NULL : json_string(texts[i]);
+        if (texts[i] != NULL && (text == NULL || texts[i][0] == '\0')) {
+            json_decref(text);
+            return BkErr_Set(BK_EUSAGE, "--%s: needs text in UTF-8",
+                             i == 0 ? "why" : "by");
+        }
+        json_decref(text);
+    }
+    return BK_OK;
+}
+
+static BkStatus
+check_line(const Line *line, const Command *command, int used)
+{
+    int wanted = command->arg[0] == '\0' ? 0 : 1;
+
+    if (line->count - used != wanted) {
+        return BkErr_Set(BK_EUSAGE, "usage: bkctl %s%s%s [OPTION...]",
+                         command->name, wanted == 0 ? "" : " ", command->arg);
+    }
+    BkStatus status = check_options(line, command);
+    return status == BK_OK ? check_texts(&line->options) : status;
+}
+
+static BkStatus
+check_config(BkCtl *ctl)
+{
+    BkStatus status = BkCtl_LoadSettings(ctl);
+
+    if (status == BK_OK) {
+        printf("%s: settings are good\n", ctl->options.config);
+    }
+    return status;
+}
+
+static BkStatus
+run_line(BkCtl *ctl, Line *line)
+{
+    int used = 0;
+
+    if (line->options.check_config) {
+        return check_config(ctl);
+    }
+    const Command *command = find_command(line, &used);
+    if (command == NULL) {
+        return BkErr_Set(BK_EUSAGE, "%s; see bkctl --help",
+                         line->count == 0 ? "no command given"
+                                          : "there is no such command");
+    }
+    BkStatus status = check_line(line, command, used);
+    if (status == BK_OK && command->online) {
+        status = BkCtl_LoadSettings(ctl);
+    }
+    if (status != BK_OK) {
+        return status;
+    }
+    if (command->online) {
+        BkCtl_Open(ctl);
+    }
+    return command->run(ctl, line->words + used);
+}
+
+int
+main(int argc, char **argv)
+{
+    static const struct argp argp = {
+        options,       take_option, "COMMAND", "The operators' tool of "
+                                               "burdockkeel.\v",
+        NULL,          list_commands, NULL};
+    Line line = {0};
+
+    argp_program_version = "bkctl " BK_VERSION;
+    argp_err_exit_status = BK_EUSAGE;
+    argp_parse(&argp, argc, argv, 0, NULL, &line);
+    if (sodium_init() < 0) {
+        fprintf(stderr, "bkctl: libsodium does not start\n");
+        return BK_EINTERNAL;
+    }
+    BkCtl ctl = {.options = line.options};
+    BkStatus status = run_line(&ctl, &line);
+    if (status != BK_OK) {
+        BkCtl_PrintError(&ctl, status);
+    }
+    BkCtl_Close(&ctl);
+    return (int)status;
+}
--- /dev/null
+++ b/src/ctl/output.c
@@ -0,0 +1,55 @@
+#include "output.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+void
+BkCtl_PrintJson(json_t *object)
+{
+    char *text = json_dumps(object, JSON_COMPACT);
+
+    printf("%s\n", text);
+    free(text);
+    json_decref(object);
+}
+
+void
+BkCtl_FormatSpan(BkMs span, char *out)
+{
+    static const struct {
+        const char *name;
+        BkMs ms;
+    } units[] = {{"d", 86400000}, {"h", 3600000}, {"min", 60000}, {"s", 1000}};
+    size_t i = 0;
+
+    if (span < 0) {
+        snprintf(out, BK_CTL_SPAN, "never");
+        return;
+    }
+    while (i < 3 && span < units[i].ms) {
+        i++;
+    }
+    snprintf(out, BK_CTL_SPAN, "%lld%s", (long long)(span / units[i].ms),
+             units[i].name);
+}
+
+void
+BkCtl_PrintError(const BkCtl *ctl, BkStatus status)
+{
+    const BkStatusInfo *info = BkStatus_Info(status);
+    const char *message = BkErr_Last();
+
+    if (message[0] == '\0') {
+        message = info->text;
+    }
+    if (ctl->options.json) {
+        BkCtl_PrintJson(json_pack(
+            "{s:{s:i, s:s, s:s, s:s}}", "error", "code", (int)info->status,
+            "name", info->name, "outcome", BkOutcome_Name(info->outcome),
+            "message", message));
+        return;
+    }
+    fflush(stdout);
+    fprintf(stderr, "bkctl: %s (%s, %d)\n", message, info->name,
+            (int)info->status);
+}
--- /dev/null
+++ b/src/ctl/settings.c
@@ -0,0 +1,106 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/settings.h"
+#include "bk/bundle/signature.h"
+#include "ctl.h"
+
+#define DEFAULT_PATH "/etc/burdockkeel/ctl.ini"
+
+enum {
+    MINUTE = 60 * 1000,
+    HOUR = 60 * MINUTE
+};
+
+static const BkSettingSpec ctl_specs[] = {
+    {"ctl", "platform", BK_SET_ADDR, offsetof(BkCtlConf, platform), NULL, 0, 0,
+     "address of the platform's service"},
+    {"ctl", "platform_timeout", BK_SET_MS,
+     offsetof(BkCtlConf, platform_timeout), "3s", 10, MINUTE,
+     "wait for an answer of the platform"},
+    {"ctl", "daemons", BK_SET_TEXT, offsetof(BkCtlConf, daemons), "", 0, 0,
+     "ops addresses of all daemons, separated by blanks"},
+    {"ctl", "daemon_timeout", BK_SET_MS, offsetof(BkCtlConf, daemon_timeout),
+     "1s", 10, MINUTE, "wait for an answer of a daemon"},
+    {"ctl", "signers", BK_SET_TEXT, offsetof(BkCtlConf, signers), "", 0, 0,
+     "public keys that may sign bundles, separated by blanks"},
+    {"ctl", "by", BK_SET_TEXT, offsetof(BkCtlConf, by), "", 0, 0,
+     "name of the operator, for the audit trail"},
+    {"ctl", "patience", BK_SET_MS, offsetof(BkCtlConf, patience), "20s", 100,
+     HOUR, "time to find out the outcome of a change"},
+    {"ctl", "wait_most", BK_SET_MS, offsetof(BkCtlConf, wait_most), "30min",
+     1000, 24 * HOUR, "longest wait of roll --wait"},
+};
+
+enum {
+    CTL_SPECS = sizeof(ctl_specs) / sizeof(ctl_specs[0])
+};
+
+static BkStatus
+fail_setting(const char *path, const char *key, BkStr word, const char *why)
+{
+    return BkErr_Set(BK_ECONFIG, "%s: [ctl] %s: \"%.*s\" %s", path, key,
+                     BK_STR_ARG(word), why);
+}
+
+static BkStatus
+check_lists(const char *path, const BkCtlConf *conf)
+{
+    BkStr daemons = BkStr_FromC(conf->daemons);
+    BkStr signers = BkStr_FromC(conf->signers);
+    unsigned char key[BK_DIGEST_BYTES];
+
+    while (daemons.len > 0) {
+        BkStr addr = BkStr_Split(&daemons, ' ');
+        if (addr.len > 0 && BkSettings_ParseAddr(addr) != BK_OK) {
+            return fail_setting(path, "daemons", addr,
+                                "is not a numeric address like 10.0.0.1:8081");
+        }
+    }
+    while (signers.len > 0) {
+        BkStr signer = BkStr_Split(&signers, ' ');
+        if (signer.len > 0 && BkDigest_Parse(signer, key) != BK_OK) {
+            return fail_setting(path, "signers", signer,
+                                "is not a public key of 64 hex digits");
+        }
+    }
+    return BK_OK;
+}
+
+BkStatus
+BkCtl_LoadSettings(BkCtl *ctl)
+{
+    const char *path = ctl->options.config;
+
+    if (path == NULL) {
+        path = DEFAULT_PATH;
+        ctl->options.config = path;
+    }
+    BkStatus status = BkSettings_Load(path, ctl_specs, CTL_SPECS, &ctl->conf);
+    return status == BK_OK ? check_lists(path, &ctl->conf) : status;
+}
+
+void
+BkCtl_Open(BkCtl *ctl)
+{
+    BkBuf base = BkBuf_Make(0);
+
+    BkBuf_Printf(&base, "http://%s", ctl->conf.platform);
+    ctl->loop = BkLoop_Create();
+    ctl->http = BkHttpClient_Create(ctl->loop);
+    ctl->plat = BkPlat_Create(ctl->http, BkBuf_C(&base),
+                              ctl->conf.platform_timeout);
+    BkBuf_Destroy(&base);
+}
+
+void
+BkCtl_Close(BkCtl *ctl)
+{
+    if (ctl->loop != NULL) {
+        BkPlat_Destroy(ctl->plat);
+        BkHttpClient_Destroy(ctl->http);
+        BkLoop_Destroy(ctl->loop);
+    }
+    BkSettings_Destroy(ctl_specs, CTL_SPECS, &ctl->conf);
+}
--- /dev/null
+++ b/src/ctl/sigfile.h
@@ -0,0 +1,26 @@
+/*
+ * sigfile - the signature that stands beside a bundle, in FILE.sig
+ */
+#ifndef BK_CTL_SIGFILE_H
+#define BK_CTL_SIGFILE_H
+
+#include "bk/bundle/bundle.h"
+#include "bk/bundle/signature.h"
+
+typedef struct BkSigFile {
+    char signature[BK_SIGNATURE_HEX];
+    char signer[BK_SIGNER_HEX];
+} BkSigFile;
+
+/* ERRORS: BK_EIO. */
+BkStatus BkSigFile_Write(const char *bundle_path, const BkBundle *bundle,
+                         const BkSigFile *sig);
+
+/*
+ * Reads the signature of a bundle and checks that it is over this text, by
+ * one of signers. ERRORS: BK_ESIGNATURE, BK_EIO, naming file and key.
+ */
+BkStatus BkSigFile_Read(const char *bundle_path, const BkBundle *bundle,
+                        BkStr signers, BkSigFile *sig);
+
+#endif
