--- a/src/ctl/bundle.c
+++ b/src/ctl/bundle.c
@@ -62,12 +62,12 @@
     BkDigest_Hex(bundle->digest, digest);
     sum_memory(bundle, &least, &memory);
     if (ctl->options.json) {
-        json_t *out = json_pack(
-            "{s:s, s:s, s:i, s:i, s:i, s:I, s:I}", "bundle", bundle->name,
-            "digest", digest, "items", bundle->item_count, "upstreams",
-            bundle->upstream_count, "callers", bundle->caller_count,
-            "least_bytes", (json_int_t)least, "memory_bytes",
-            (json_int_t)memory);
+        json_t *out =
+            json_pack("{s:s, s:s, s:i, s:i, s:i, s:I, s:I}", "bundle",
+                      bundle->name, "digest", digest, "items",
+                      bundle->item_count, "upstreams", bundle->upstream_count,
+                      "callers", bundle->caller_count, "least_bytes",
+                      (json_int_t)least, "memory_bytes", (json_int_t)memory);
         if (diff != NULL) {
             json_object_set_new(out, "against", BkBundleDiff_Json(diff));
         }
@@ -148,8 +148,8 @@
     BkStatus status = BkSign_NewKey(words[0], signer);
 
     if (status == BK_OK && ctl->options.json) {
-        BkCtl_PrintJson(json_pack("{s:s, s:s}", "key", words[0], "signer",
-                                  signer));
+        BkCtl_PrintJson(
+            json_pack("{s:s, s:s}", "key", words[0], "signer", signer));
     }
     else if (status == BK_OK) {
         printf("%s: secret key, keep it to yourself\n", words[0]);
--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -31,8 +31,8 @@
     if (status == BK_OK && row.version != 0) {
         json_t *object = json_loads(row.data, 0, NULL);
         if (json_unpack(object, "{s:I}", "next", &number) != 0 || number < 1) {
-            status = BkErr_Set(BK_EDECODE,
-                               "row audit-next/next is not understood");
+            status =
+                BkErr_Set(BK_EDECODE, "row audit-next/next is not understood");
         }
         json_decref(object);
     }
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -176,8 +176,8 @@
         if (addr.len == 0) {
             continue;
         }
-        answers->list = BkMem_Grow(
-            answers->list, (size_t)answers->count + 1, sizeof(BkCtlAnswer));
+        answers->list = BkMem_Grow(answers->list, (size_t)answers->count + 1,
+                                   sizeof(BkCtlAnswer));
         answers->list[answers->count++] =
             (BkCtlAnswer){BkStr_Dup(addr), BK_ECONNECT, BkBuf_Make(0)};
     }
--- a/src/ctl/drain.c
+++ b/src/ctl/drain.c
@@ -45,8 +45,8 @@
         printf("%s is not drained any more\n", name);
     }
     else {
-        printf("%s is drained%s by %s: %s\n", name,
-               changed ? "" : " already,", row->by, row->why);
+        printf("%s is drained%s by %s: %s\n", name, changed ? "" : " already,",
+               row->by, row->why);
     }
 }
 
--- a/src/ctl/fleet.c
+++ b/src/ctl/fleet.c
@@ -103,6 +103,19 @@
     return acting;
 }
 
+uint64_t
+BkDaemonList_HighestActing(const BkDaemonList *daemons)
+{
+    uint64_t highest = 0;
+
+    for (int i = 0; i < daemons->count; i++) {
+        if (daemons->list[i].acting > highest) {
+            highest = daemons->list[i].acting;
+        }
+    }
+    return highest;
+}
+
 void
 BkDaemonList_Clear(BkDaemonList *daemons)
 {
@@ -133,8 +146,8 @@
         drains->list = BkMem_New((size_t)rows.count, sizeof(BkDrainRow));
     }
     for (int i = 0; i < rows.count && status == BK_OK; i++) {
-        status = BkDrainRow_Decode(&drains->list[drains->count++],
-                                   &rows.rows[i]);
+        status =
+            BkDrainRow_Decode(&drains->list[drains->count++], &rows.rows[i]);
     }
     BkCtlRows_Clear(&rows);
     return status;
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -26,9 +26,9 @@
     bool answered;
     char *name;
     char *role;
-    char *reason;      /* why it is not ready */
-    uint64_t acting;   /* version it acts on */
-    uint64_t highest;  /* version it heard of */
+    char *reason;     /* why it is not ready */
+    uint64_t acting;  /* version it acts on */
+    uint64_t highest; /* version it heard of */
     bool current;
     bool ready;
     BkSeenUpstream *upstreams;
@@ -60,6 +60,7 @@
 /* Asks GET /ops/status of all daemons. */
 void BkCtl_AskStatus(BkCtl *ctl, BkDaemonList *daemons);
 int BkDaemonList_CountActing(const BkDaemonList *daemons, uint64_t version);
+uint64_t BkDaemonList_HighestActing(const BkDaemonList *daemons);
 void BkDaemonList_Clear(BkDaemonList *daemons);
 
 /* Asks everybody; with the last audit entries if audit is above 0. */
--- a/src/ctl/handover.c
+++ b/src/ctl/handover.c
@@ -69,8 +69,7 @@
     for (int i = 0; i < fleet->daemons.count; i++) {
         const BkDaemonState *daemon = &fleet->daemons.list[i];
         if (!daemon->answered) {
-            add_watch(watch, "the daemon at %s does not answer",
-                      daemon->addr);
+            add_watch(watch, "the daemon at %s does not answer", daemon->addr);
             continue;
         }
         if (!daemon->ready) {
@@ -116,8 +115,9 @@
 format_next(const BkFleet *fleet, char *out, size_t size)
 {
     if (fleet->platform != BK_OK) {
-        snprintf(out, size, "bkctl handover (again, once the platform "
-                            "answers)");
+        snprintf(out, size,
+                 "bkctl handover (again, once the platform "
+                 "answers)");
         return;
     }
     snprintf(out, size,
--- a/src/ctl/log.c
+++ b/src/ctl/log.c
@@ -32,11 +32,11 @@
     for (int i = 0; i < audit->count; i++) {
         const BkAuditRow *row = &audit->rows[i];
         json_array_append_new(
-            list, json_pack("{s:I, s:s, s:s, s:s, s:s, s:s, s:I}", "number",
-                            (json_int_t)row->number, "at", row->at, "by",
-                            row->by, "action", row->action, "subject",
-                            row->subject, "why", row->why, "version",
-                            (json_int_t)row->version));
+            list,
+            json_pack("{s:I, s:s, s:s, s:s, s:s, s:s, s:I}", "number",
+                      (json_int_t)row->number, "at", row->at, "by", row->by,
+                      "action", row->action, "subject", row->subject, "why",
+                      row->why, "version", (json_int_t)row->version));
     }
     return list;
 }
@@ -61,7 +61,7 @@
 BkCtl_Log(BkCtl *ctl, char **words)
 {
     BkAuditList audit = {0};
-    int last;
+    int last = LAST_DEFAULT;
     BkStatus status = read_last(ctl, &last);
 
     (void)words;
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -294,10 +294,14 @@
 int
 main(int argc, char **argv)
 {
-    static const struct argp argp = {
-        options,       take_option, "COMMAND", "The operators' tool of "
-                                               "burdockkeel.\v",
-        NULL,          list_commands, NULL};
+    static const struct argp argp = {options,
+                                     take_option,
+                                     "COMMAND",
+                                     "The operators' tool of "
+                                     "burdockkeel.\v",
+                                     NULL,
+                                     list_commands,
+                                     NULL};
     Line line = {0};
 
     argp_program_version = "bkctl " BK_VERSION;
--- a/src/ctl/output.c
+++ b/src/ctl/output.c
@@ -43,10 +43,10 @@
         message = info->text;
     }
     if (ctl->options.json) {
-        BkCtl_PrintJson(json_pack(
-            "{s:{s:i, s:s, s:s, s:s}}", "error", "code", (int)info->status,
-            "name", info->name, "outcome", BkOutcome_Name(info->outcome),
-            "message", message));
+        BkCtl_PrintJson(json_pack("{s:{s:i, s:s, s:s, s:s}}", "error", "code",
+                                  (int)info->status, "name", info->name,
+                                  "outcome", BkOutcome_Name(info->outcome),
+                                  "message", message));
         return;
     }
     fflush(stdout);
--- a/src/ctl/roll.c
+++ b/src/ctl/roll.c
@@ -117,8 +117,7 @@
 
     *bundle = NULL;
     if (status == BK_OK) {
-        *bundle =
-            BkBundle_Parse("bundle in force", BkBuf_Str(&text), &status);
+        *bundle = BkBundle_Parse("bundle in force", BkBuf_Str(&text), &status);
     }
     BkBuf_Destroy(&text);
     if (status == BK_OK &&
@@ -276,8 +275,8 @@
         return status;
     }
     status = BkCtl_ReadInForce(ctl, &now);
-    status = status == BK_OK ? resolve_taken(ctl, roll, &now)
-                             : fail_unread(ctl);
+    status =
+        status == BK_OK ? resolve_taken(ctl, roll, &now) : fail_unread(ctl);
     BkInForceRow_Clear(&now);
     return status;
 }
--- a/src/ctl/rows.c
+++ b/src/ctl/rows.c
@@ -88,11 +88,11 @@
 void
 BkInForceRow_Encode(const BkInForceRow *row, const char *text, BkBuf *out)
 {
-    json_t *object = json_pack(
-        "{s:I, s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "version",
-        (json_int_t)row->version, "digest", row->digest, "signature",
-        row->signature, "signer", row->signer, "name", row->name, "note",
-        row->note, "by", row->by, "nonce", row->nonce);
+    json_t *object =
+        json_pack("{s:I, s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "version",
+                  (json_int_t)row->version, "digest", row->digest, "signature",
+                  row->signature, "signer", row->signer, "name", row->name,
+                  "note", row->note, "by", row->by, "nonce", row->nonce);
 
     if (text != NULL) {
         json_object_set_new(object, "text", json_string(text));
@@ -180,8 +180,7 @@
         if (!json_is_string(item)) {
             return false;
         }
-        out->missing[out->missing_count++] =
-            dup_text(json_string_value(item));
+        out->missing[out->missing_count++] = dup_text(json_string_value(item));
     }
     return true;
 }
--- a/src/ctl/settings.c
+++ b/src/ctl/settings.c
@@ -89,8 +89,8 @@
     BkBuf_Printf(&base, "http://%s", ctl->conf.platform);
     ctl->loop = BkLoop_Create();
     ctl->http = BkHttpClient_Create(ctl->loop);
-    ctl->plat = BkPlat_Create(ctl->http, BkBuf_C(&base),
-                              ctl->conf.platform_timeout);
+    ctl->plat =
+        BkPlat_Create(ctl->http, BkBuf_C(&base), ctl->conf.platform_timeout);
     BkBuf_Destroy(&base);
 }
 
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -13,8 +13,9 @@
     char span[BK_CTL_SPAN];
 
     if (fleet->platform != BK_OK) {
-        printf("bundle     unknown: the platform does not answer; what "
-               "follows is from the daemons\n");
+        printf("bundle     the platform does not answer; the highest version "
+               "that a daemon acts on is %" PRIu64 "  [daemons]\n",
+               BkDaemonList_HighestActing(&fleet->daemons));
         return;
     }
     if (row->version == 0) {
@@ -146,10 +147,10 @@
         json_array_append_new(missing, json_string(progress->missing[i]));
     }
     for (int i = 0; i < progress->doubt_count; i++) {
-        json_array_append_new(
-            doubts, json_pack("{s:s, s:s}", "upstream",
-                              progress->doubts[i].upstream, "instance",
-                              progress->doubts[i].instance));
+        json_array_append_new(doubts, json_pack("{s:s, s:s}", "upstream",
+                                                progress->doubts[i].upstream,
+                                                "instance",
+                                                progress->doubts[i].instance));
     }
     return json_pack("{s:I, s:b, s:o, s:o, s:I, s:I}", "version",
                      (json_int_t)progress->version, "rolled", progress->rolled,
--- a/src/ctl/wait.c
+++ b/src/ctl/wait.c
@@ -41,15 +41,15 @@
     uint64_t version = roll->row.version;
     int items = roll->bundle->item_count;
     int acting = BkDaemonList_CountActing(&look->daemons, version);
-    int len = snprintf(line, MAX_LINE,
-                       "in force at %d of %d daemons; ", acting,
-                       look->daemons.count);
+    int len = snprintf(line, MAX_LINE, "in force at %d of %d daemons; ",
+                       acting, look->daemons.count);
     char *rest = line + len;
     size_t room = MAX_LINE - (size_t)len;
 
     if (!look->platform) {
-        snprintf(rest, room, "the platform does not answer, the acceptance "
-                             "stands");
+        snprintf(rest, room,
+                 "the platform does not answer, the acceptance "
+                 "stands");
     }
     else if (progress->version < version) {
         snprintf(rest, room, "the planner has not begun");
