--- a/src/bundle/raw.c
+++ b/src/bundle/raw.c
@@ -1,5 +1,6 @@
 #include "raw.h"
 
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -294,6 +295,19 @@
     return BK_OK;
 }
 
+/* it travels as a JSON string and as lines for inih */
+static bool
+is_text(BkStr text)
+{
+    if (text.len == 0) {
+        return true;
+    }
+    json_t *string = json_stringn(text.ptr, text.len);
+    bool valid = string != NULL && memchr(text.ptr, '\0', text.len) == NULL;
+    json_decref(string);
+    return valid;
+}
+
 BkStatus
 BkRawBundle_Read(BkRawBundle *raw, const char *where, BkStr text)
 {
@@ -304,8 +318,8 @@
         return BkErr_Set(BK_ETOOBIG, "%s: a bundle has at most %d bytes",
                          where, BK_BUNDLE_MAX_BYTES);
     }
-    if (text.len > 0 && memchr(text.ptr, '\0', text.len) != NULL) {
-        return BkErr_Set(BK_EBUNDLE, "%s: is not text", where);
+    if (!is_text(text)) {
+        return BkErr_Set(BK_EBUNDLE, "%s: is not text in UTF-8", where);
     }
     BkStatus status = scan_sections(raw, text);
     if (status == BK_OK) {
--- a/tests/unit/test_bundle.c
+++ b/tests/unit/test_bundle.c
@@ -171,6 +171,9 @@
     ck_assert_int_eq(status, BK_ETOOBIG);
     ck_assert_ptr_null(BkBundle_Parse("b", (BkStr){"[x]\0", 4}, &status));
     ck_assert_int_eq(status, BK_EBUNDLE);
+    ck_assert_ptr_null(BkBundle_Parse("b", BK_STR("# \xff\n"), &status));
+    ck_assert_int_eq(status, BK_EBUNDLE);
+    ck_assert_ptr_nonnull(strstr(BkErr_Last(), "UTF-8"));
     free(large);
 }
 END_TEST
