route, place: follow the view's generation; add scripted tests

Cause of three changes: the tests showed that a lost last copy waited until its engine was stale (now at once when no copy can be reached; least numbers still wait until the loss is sure), that surplus was never dropped when it kept a second domain which nobody asked for, and that a prefix refused by the load bound was scattered (now the next in rendezvous order within the bound). Feasible also tries a tight packing before it refuses.

--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -15,7 +15,6 @@
 #include "bk/view/view.h"
 
 #define BK_ROUTE_MAX_TRIED 8
-#define BK_ROUTE_REFRESH ((BkMs)50)
 
 typedef enum BkRoutePolicy {
     BK_ROUTE_CORRECTED, /* lagged load corrected by own sends, two choices,
@@ -41,19 +40,12 @@
     BkRouteConf conf;
     BkRng rng;
     uint32_t turn;       /* of round robin */
-    BkRouteIndex *index; /* made on first use */
+    BkRouteIndex *index; /* item to copies; follows the view's generation */
 } BkRoute;
 
 /* Frees the index; the route may be used again. */
 void BkRoute_Destroy(BkRoute *route);
 
-/*
- * The copies of an item are found by an index, so that a choice costs the
- * same whatever the number of upstreams and models. It follows the view by
- * itself within BK_ROUTE_REFRESH; call this to have it at once.
- */
-void BkRoute_Refresh(BkRoute *route, const BkView *view, BkMs now);
-
 typedef struct BkRouteQuery {
     int item;             /* index in the bundle */
     uint64_t prefix_hash; /* of the prompt's head; 0: none */
--- a/src/place/feasible.c
+++ b/src/place/feasible.c
@@ -12,13 +12,14 @@
 
 typedef struct Packing {
     const BkBundle *bundle;
-    Bin *bins; /* per upstream; no room on services */
+    bool tight; /* into the fullest engine that has room, else the emptiest */
+    Bin *bins;  /* per upstream; no room on services */
 } Packing;
 
 static Packing
-create_packing(const BkBundle *bundle)
+create_packing(const BkBundle *bundle, bool tight)
 {
-    Packing packing = {bundle, NULL};
+    Packing packing = {bundle, tight, NULL};
     size_t places = (size_t)bundle->item_count;
 
     packing.bins = BkMem_New((size_t)bundle->upstream_count, sizeof(Bin));
@@ -49,7 +50,15 @@
     return false;
 }
 
-/* one copy into the emptiest engine that takes it */
+static bool
+is_better(const Packing *packing, const Bin *bin, const Bin *best)
+{
+    if (best == NULL) {
+        return true;
+    }
+    return packing->tight ? bin->room < best->room : bin->room > best->room;
+}
+
 static bool
 pack_copy(Packing *packing, int item)
 {
@@ -60,7 +69,7 @@
         Bin *bin = &packing->bins[up];
         bool base_there = spec->base < 0 || bin_holds(bin, spec->base);
         if (bin->room >= spec->bytes && base_there && !bin_holds(bin, item) &&
-            (best == NULL || bin->room > best->room)) {
+            is_better(packing, bin, best)) {
             best = bin;
         }
     }
@@ -162,10 +171,23 @@
     return BK_OK;
 }
 
+static BkStatus
+try_packing(const BkBundle *bundle, const BkBundle *prev, const int *order,
+            bool tight)
+{
+    Packing packing = create_packing(bundle, tight);
+    BkStatus status = pack_items(&packing, order);
+
+    if (status == BK_OK && prev != NULL) {
+        status = check_roll(&packing, prev);
+    }
+    destroy_packing(&packing);
+    return status;
+}
+
 BkStatus
 BkPlace_Feasible(const BkBundle *bundle, const BkBundle *prev)
 {
-    Packing packing = create_packing(bundle);
     int *order = BkMem_New((size_t)bundle->item_count, sizeof(int));
 
     for (int i = 0; i < bundle->item_count; i++) {
@@ -173,11 +195,10 @@
     }
     sort_bundle = bundle;
     qsort(order, (size_t)bundle->item_count, sizeof(int), compare_items);
-    BkStatus status = pack_items(&packing, order);
-    if (status == BK_OK && prev != NULL) {
-        status = check_roll(&packing, prev);
+    BkStatus status = try_packing(bundle, prev, order, false);
+    if (status != BK_OK) {
+        status = try_packing(bundle, prev, order, true);
     }
     free(order);
-    destroy_packing(&packing);
     return status;
 }
--- a/src/place/needed.c
+++ b/src/place/needed.c
@@ -41,7 +41,7 @@
 
     for (int i = 0; i < state->item_count; i++) {
         const PlaceItem *item = &state->items[i];
-        if (item->have < item->least) {
+        if (place_lacks(item)) {
             wants[count++] = (Want){i, want_class(state, i), item->demand};
         }
     }
@@ -73,7 +73,7 @@
 {
     PlaceItem *item = &state->items[index];
 
-    while (item->have < item->least) {
+    while (place_lacks(item)) {
         const char *why = reason(item);
         int up = place_pick_target(state, index);
         if (up == NONE) {
--- a/src/place/state.c
+++ b/src/place/state.c
@@ -113,6 +113,7 @@
         }
         PlaceItem *item = &state->items[copy->item];
         item->have += copy->current && state->ups[copy->up].alive;
+        item->coming += copy->current && state->ups[copy->up].usable;
         item->ready += copy->ready;
         item->ready_current += copy->ready && copy->current;
     }
@@ -173,6 +174,14 @@
     free(state->copies);
 }
 
+bool
+place_lacks(const PlaceItem *item)
+{
+    bool lost = item->least > 0 && item->ready == 0 && item->coming == 0;
+
+    return lost || item->have < item->least;
+}
+
 int
 place_find(const PlaceState *state, int item, int up, bool current)
 {
@@ -289,7 +298,7 @@
     }
     if (copy->current) {
         return item->ready_current > item->least &&
-               !narrows_domains(state, index);
+               (item->least < 2 || !narrows_domains(state, index));
     }
     int enough = level == LEVEL_SURPLUS ? item->least : 1;
     return item->ready_current >= enough || level == LEVEL_SPARE;
@@ -324,6 +333,7 @@
     copy->bytes = bytes;
     copy->current = true;
     state->items[item].have++;
+    state->items[item].coming++;
     return true;
 }
 
@@ -348,6 +358,7 @@
     if (copy->item != NONE) {
         PlaceItem *item = &state->items[copy->item];
         item->have -= copy->current && state->ups[copy->up].alive;
+        item->coming -= copy->current && state->ups[copy->up].usable;
         item->ready -= copy->ready;
         item->ready_current -= copy->ready && copy->current;
     }
--- a/src/place/state.h
+++ b/src/place/state.h
@@ -37,9 +37,10 @@
 } PlaceUp;
 
 typedef struct PlaceItem {
-    int least; /* copies it must have */
-    int have;  /* current ones, loading too, on alive upstreams */
-    int ready; /* of any version, on usable upstreams */
+    int least;  /* copies it must have */
+    int have;   /* current ones, loading too, on alive upstreams */
+    int coming; /* current ones, loading too, on usable upstreams */
+    int ready;  /* of any version, on usable upstreams */
     int ready_current;
     double demand; /* slots that its requests take */
     int first;     /* copy */
@@ -86,6 +87,10 @@
     return state->in->bundle->upstreams[up].domain;
 }
 
+/* Whether the item needs another copy, whatever its demand. At once when
+ * no copy can be reached; a least number waits until the loss is sure. */
+bool place_lacks(const PlaceItem *item);
+
 /* A copy of the item on the upstream that is not going, current or else of
  * any version; NONE if there is none. */
 int place_find(const PlaceState *state, int item, int up, bool current);
--- a/src/place/weighted.c
+++ b/src/place/weighted.c
@@ -85,7 +85,9 @@
     double gain =
         rate * (double)conf->horizon / BK_MS_PER_S * conf->attainment_weight -
         moves * conf->move_weight;
-    if (gain > best->gain) {
+    bool cooler = best->up != NONE && gain == best->gain &&
+                  state->ups[up].use < state->ups[best->up].use;
+    if (gain > best->gain || cooler) {
         *best = (Offer){item, up, gain};
     }
 }
--- a/src/route/index.c
+++ b/src/route/index.c
@@ -5,7 +5,6 @@
 
 /* what an upstream's entries were made from, and for which items */
 typedef struct IndexUp {
-    const BkInst *insts;
     int inst_count;
     uint32_t digest;
     int *items;
@@ -15,7 +14,7 @@
 struct BkRouteIndex {
     const BkView *view;
     unsigned char bundle[BK_DIGEST_BYTES];
-    BkMs at;
+    uint64_t generation;
     IndexList *items;
     int item_count;
     IndexUp *ups;
@@ -103,7 +102,6 @@
         remove_copy(&index->items[entry->items[i]], up);
     }
     entry->count = 0;
-    entry->insts = seen->insts;
     entry->inst_count = seen->inst_count;
     entry->digest = seen->insts_digest;
     if (spec->kind == BK_UPSTREAM_SERVICE) {
@@ -129,6 +127,7 @@
     BkRouteIndex *index = BkMem_New(1, sizeof(*index));
 
     index->view = view;
+    index->generation = view->generation;
     memcpy(index->bundle, view->bundle->digest, BK_DIGEST_BYTES);
     index->item_count = view->bundle->item_count;
     index->items = BkMem_New((size_t)index->item_count, sizeof(IndexList));
@@ -140,20 +139,15 @@
     return index;
 }
 
-void
-BkRoute_Refresh(BkRoute *route, const BkView *view, BkMs now)
+/* looks again at the upstreams whose list has changed */
+static void
+follow_view(BkRouteIndex *index, const BkView *view)
 {
-    if (!index_fits(route->index, view)) {
-        destroy_index(route->index);
-        route->index = create_index(view);
-    }
-    BkRouteIndex *index = route->index;
-    index->at = now;
+    index->generation = view->generation;
     for (int up = 0; up < view->count; up++) {
         const BkUpView *seen = &view->ups[up];
         const IndexUp *entry = &index->ups[up];
-        if (entry->insts != seen->insts ||
-            entry->inst_count != seen->inst_count ||
+        if (entry->inst_count != seen->inst_count ||
             entry->digest != seen->insts_digest) {
             refresh_upstream(index, view, up);
         }
@@ -161,11 +155,14 @@
 }
 
 const IndexList *
-route_copies(BkRoute *route, const BkView *view, int item, BkMs now)
+route_copies(BkRoute *route, const BkView *view, int item)
 {
-    if (!index_fits(route->index, view) ||
-        now - route->index->at >= BK_ROUTE_REFRESH) {
-        BkRoute_Refresh(route, view, now);
+    if (!index_fits(route->index, view)) {
+        destroy_index(route->index);
+        route->index = create_index(view);
+    }
+    if (route->index->generation != view->generation) {
+        follow_view(route->index, view);
     }
     return &route->index->items[item];
 }
--- a/src/route/index.h
+++ b/src/route/index.h
@@ -20,8 +20,7 @@
     int cap;
 } IndexList;
 
-/* The copies of an item; refreshes the index when it is due. */
-const IndexList *route_copies(BkRoute *route, const BkView *view, int item,
-                              BkMs now);
+/* The copies of an item; the index follows the view's generation. */
+const IndexList *route_copies(BkRoute *route, const BkView *view, int item);
 
 #endif
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -96,40 +96,50 @@
     return fuller <= 0 ? c->ups[a] : c->ups[b];
 }
 
-/* the copy that holds this prefix, if it is not much fuller than the mean;
- * -1 otherwise */
+static double
+mean_fullness(const BkView *view, const Candidates *c)
+{
+    double sum = 0;
+
+    for (int i = 0; i < c->count; i++) {
+        sum += fullness(view, c->ups[i]);
+    }
+    return sum / c->count;
+}
+
+/* rendezvous hashing among those that are not much fuller than the mean, so
+ * that a prefix which must move goes to the same copy each time */
 static int
 choose_prefix(const BkRoute *route, const BkView *view, const Candidates *c,
               uint64_t prefix)
 {
+    double slack = 1 + route->conf.affinity_slack;
+    double bound = mean_fullness(view, c) * slack;
     uint64_t best_score = 0;
     int best = -1;
-    double sum = 0;
 
     for (int i = 0; i < c->count; i++) {
-        uint32_t key = view->bundle->upstreams[c->ups[i]].key;
+        int up = c->ups[i];
+        uint32_t key = view->bundle->upstreams[up].key;
         uint64_t score = XXH64(&key, sizeof(key), prefix);
-        sum += fullness(view, c->ups[i]);
-        if (best < 0 || score > best_score) {
-            best = c->ups[i];
+        double one_more = 1.0 / slots_of(view, up);
+        if (fullness(view, up) <= bound + one_more &&
+            (best < 0 || score > best_score)) {
+            best = up;
             best_score = score;
         }
     }
-    double bound = sum / c->count * (1 + route->conf.affinity_slack) +
-                   1.0 / slots_of(view, best);
-    return fullness(view, best) <= bound ? best : -1;
+    return best;
 }
 
 static int
 choose_corrected(BkRoute *route, const BkView *view, const Candidates *c,
                  const BkRouteQuery *query)
 {
-    int up = -1;
-
     if (query->prefix_hash != 0) {
-        up = choose_prefix(route, view, c, query->prefix_hash);
+        return choose_prefix(route, view, c, query->prefix_hash);
     }
-    return up >= 0 ? up : choose_two(route, view, c);
+    return choose_two(route, view, c);
 }
 
 static int
@@ -214,7 +224,7 @@
                BkMs now)
 {
     BkRouteChoice choice = {.status = BK_ENOTREADY, .upstream = -1};
-    const IndexList *list = route_copies(route, view, query->item, now);
+    const IndexList *list = route_copies(route, view, query->item);
     Candidates candidates;
 
     collect(route, view, query, list, true, now, &candidates);
--- /dev/null
+++ b/tests/unit/test_route.c
@@ -0,0 +1,248 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/route/route.h"
+#include "script.h"
+
+static const char bundle_text[] =
+    "[bundle]\nname = b\n"
+    "[upstream e1]\nkind = engine\naddr = 127.0.0.1:1\ndomain = a\n"
+    "memory = 10GiB\nslots = 4\nfencing = ignored\n"
+    "[upstream e2]\nkind = engine\naddr = 127.0.0.1:2\ndomain = a\n"
+    "memory = 10GiB\nslots = 4\nfencing = ignored\n"
+    "[upstream e3]\nkind = engine\naddr = 127.0.0.1:3\ndomain = b\n"
+    "memory = 10GiB\nslots = 4\nfencing = ignored\n"
+    "[upstream s1]\nkind = service\naddr = 127.0.0.1:4\ndomain = b\n"
+    "serves = water\nslots = 4\n"
+    "[service water]\nrepeatable = no\n"
+    "[model m1]\nversion = 2\nbytes = 1GiB\n"
+    "[model m2]\nversion = 1\nbytes = 1GiB\n"
+    "[caller a]\nshare = 1\nallow = *\ntoken = "
+    "00000000000000000000000000000000000000000000000000000000000000aa\n"
+    "[caller b]\nshare = 3\nallow = *\ntoken = "
+    "00000000000000000000000000000000000000000000000000000000000000bb\n";
+
+typedef struct Fixture {
+    BkBundle *bundle;
+    BkView *view;
+    BkRoute route;
+    BkRouteQuery query;
+    BkFair *fair;
+    BkRetryBudget budget;
+    BkMs now;
+} Fixture;
+
+static int
+find_up(const Fixture *f, const char *name)
+{
+    return BkBundle_FindUpstream(f->bundle, BkStr_FromC(name));
+}
+
+/* state UP RUNNING WAITING ITEM/VERSION... */
+static void
+take_state(Fixture *f, char **words, int count)
+{
+    BkBuf json = BkBuf_Make(0);
+
+    BkBuf_Printf(&json,
+                 "{\"boot\":1,\"running\":%s,\"waiting\":%s,\"instances\":[",
+                 words[2], words[3]);
+    for (int i = 4; i < count; i++) {
+        BkStr version = BkStr_FromC(words[i]);
+        BkStr item = BkStr_Split(&version, '/');
+        BkBuf_Printf(&json, "%s{\"instance\":\"%s\",\"model\":\"%.*s\",",
+                     i == 4 ? "" : ",", words[i], BK_STR_ARG(item));
+        BkBuf_Printf(&json, "\"version\":\"%.*s\",\"state\":\"ready\"}",
+                     BK_STR_ARG(version));
+    }
+    BkBuf_Printf(&json, "]}");
+    BkStatus status = BkView_TakeState(f->view, find_up(f, words[1]),
+                                       BkBuf_Str(&json), f->now);
+    ck_assert_int_eq(status, BK_OK);
+    BkBuf_Destroy(&json);
+}
+
+/* choose ITEM TIMES: how often each upstream was chosen, without sending */
+static void
+choose(Fixture *f, char **words, BkBuf *out)
+{
+    int hits[4] = {0};
+    int times = atoi(words[2]);
+    BkRouteChoice choice = {.status = BK_OK};
+
+    f->query.item = BkBundle_FindItem(f->bundle, BkStr_FromC(words[1]));
+    for (int i = 0; i < times && choice.status == BK_OK; i++) {
+        choice = BkRoute_Choose(&f->route, f->view, &f->query, f->now);
+        if (choice.status == BK_OK) {
+            hits[choice.upstream]++;
+        }
+    }
+    if (choice.status != BK_OK) {
+        BkBuf_Printf(out, "%s, retry after %lld ms: %s\n",
+                     BkStatus_Info(choice.status)->name,
+                     (long long)choice.retry_after, BkErr_Last());
+        return;
+    }
+    for (int up = 0; up < f->view->count; up++) {
+        if (hits[up] > 0) {
+            BkBuf_Printf(out, "%s %d, ", f->bundle->upstreams[up].name,
+                         hits[up]);
+        }
+    }
+    BkBuf_Printf(out, "wait %lld ms\n", (long long)choice.expected_wait);
+}
+
+/* prefixes ITEM N: whether each of N prefixes keeps its upstream */
+static void
+choose_prefixes(Fixture *f, char **words, BkBuf *out)
+{
+    int hits[4] = {0};
+    int moved = 0;
+
+    f->query.item = BkBundle_FindItem(f->bundle, BkStr_FromC(words[1]));
+    for (int i = 1; i <= atoi(words[2]); i++) {
+        f->query.prefix_hash = (uint64_t)i;
+        int first =
+            BkRoute_Choose(&f->route, f->view, &f->query, f->now).upstream;
+        int again =
+            BkRoute_Choose(&f->route, f->view, &f->query, f->now).upstream;
+        hits[first]++;
+        moved += first != again;
+    }
+    f->query.prefix_hash = 0;
+    BkBuf_Printf(out, "e1 %d, e2 %d, e3 %d, moved %d\n", hits[0], hits[1],
+                 hits[2], moved);
+}
+
+static void
+enter(Fixture *f, char **words, BkBuf *out)
+{
+    int entered = 0;
+    BkMs retry = 0;
+    int caller = atoi(words[1]);
+
+    for (int i = 0; i < atoi(words[2]); i++) {
+        entered += BkFair_Enter(f->fair, caller, f->now, &retry) == BK_OK;
+    }
+    BkBuf_Printf(out, "%d entered, retry after %lld ms\n", entered,
+                 (long long)retry);
+}
+
+/* verbs that tell of an upstream */
+static bool
+run_upstream(Fixture *f, char **words, int count)
+{
+    const char *verb = words[0];
+
+    if (strcmp(verb, "state") == 0) {
+        take_state(f, words, count);
+    }
+    else if (strcmp(verb, "fail") == 0) {
+        BkView_TakeFailure(f->view, find_up(f, words[1]), f->now);
+    }
+    else if (strcmp(verb, "leave") == 0) {
+        BkView_SetLeaving(f->view, find_up(f, words[1]));
+    }
+    else if (strcmp(verb, "sent") == 0) {
+        for (int i = 0; i < atoi(words[2]); i++) {
+            BkRoute_Sent(f->view, find_up(f, words[1]));
+        }
+    }
+    else if (strcmp(verb, "finished") == 0) {
+        BkRoute_Finished(f->view, find_up(f, words[1]));
+    }
+    else {
+        return false;
+    }
+    return true;
+}
+
+static void
+run_route(char **words, int count, BkBuf *out, void *arg)
+{
+    Fixture *f = arg;
+    const char *verb = words[0];
+
+    if (run_upstream(f, words, count)) {
+        return;
+    }
+    if (strcmp(verb, "choose") == 0) {
+        choose(f, words, out);
+    }
+    else if (strcmp(verb, "prefixes") == 0) {
+        choose_prefixes(f, words, out);
+    }
+    else if (strcmp(verb, "policy") == 0) {
+        f->route.conf.policy = (BkRoutePolicy)atoi(words[1]);
+    }
+    else if (strcmp(verb, "deadline") == 0) {
+        f->query.deadline = f->now + atoi(words[1]);
+    }
+    else if (strcmp(verb, "wait") == 0) {
+        f->now += atoi(words[1]);
+    }
+    else if (strcmp(verb, "tried") == 0) {
+        f->query.tried_count = count - 1;
+        for (int i = 1; i < count; i++) {
+            f->query.tried[i - 1] = find_up(f, words[i]);
+        }
+    }
+    else if (strcmp(verb, "enter") == 0) {
+        enter(f, words, out);
+    }
+    else if (strcmp(verb, "exit") == 0) {
+        BkFair_Leave(f->fair, atoi(words[1]), f->now);
+    }
+    else if (strcmp(verb, "earn") == 0) {
+        for (int i = 0; i < atoi(words[1]); i++) {
+            BkRetryBudget_Earn(&f->budget);
+        }
+    }
+    else if (strcmp(verb, "spend") == 0) {
+        int spent = 0;
+        while (BkRetryBudget_Spend(&f->budget)) {
+            spent++;
+        }
+        BkBuf_Printf(out, "%d\n", spent);
+    }
+}
+
+START_TEST(test_script)
+{
+    Fixture f = {.now = BK_MS_PER_S, .budget = {0, 0.1, 5}};
+    BkStatus status;
+
+    f.bundle = BkBundle_Parse("b", BkStr_FromC(bundle_text), &status);
+    ck_assert_msg(f.bundle != NULL, "%s", BkErr_Last());
+    f.view = BkView_Create(f.bundle, NULL);
+    f.fair = BkFair_Create(f.bundle, 8);
+    f.route = (BkRoute){.rng = BkRng_Make(1)};
+    f.route.conf = (BkRouteConf){.stale_after = 3 * BK_MS_PER_S,
+                                 .service_time = BK_MS_PER_S,
+                                 .first_byte = 100,
+                                 .affinity_slack = 0.25};
+    f.query.deadline = f.now + 500;
+    BkScript_Run("route", run_route, &f);
+    BkRoute_Destroy(&f.route);
+    BkFair_Destroy(f.fair);
+    BkView_Destroy(f.view);
+    BkBundle_Destroy(f.bundle);
+}
+END_TEST
+
+int
+main(void)
+{
+    Suite *suite = suite_create("route");
+    TCase *tcase = tcase_create("route");
+
+    tcase_add_test(tcase, test_script);
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
