--- a/include/bk/claim/claim.h
+++ b/include/bk/claim/claim.h
@@ -10,7 +10,8 @@
  *
  * release is allowed only when nothing was put on any wire. A claimed row
  * whose entry died stays claimed: its outcome is unknown until its
- * retention ends. Claims and outcomes of many requests share transactions.
+ * retention ends, counted from the row's last write by the platform's
+ * clock. Claims and outcomes of many requests share transactions.
  */
 #ifndef BK_CLAIM_CLAIM_H
 #define BK_CLAIM_CLAIM_H
@@ -39,6 +40,7 @@
     char nonce[BK_CLAIM_NONCE_BYTES * 2 + 1];
     char request[BK_CLAIM_DIGEST_HEX]; /* digest of method, path and body */
     uint64_t version;                  /* of the table row */
+    BkMs age;                          /* since its last write */
     int code;                          /* HTTP status of a recorded answer */
     char *type;                        /* its content type, owned */
     BkBuf body;
@@ -47,7 +49,7 @@
 
 /* What a request may do, given the row that stands under its key. */
 typedef enum BkClaimVerdict {
-    BK_CLAIM_MAY_CLAIM, /* absent or free: write the claim */
+    BK_CLAIM_MAY_CLAIM, /* absent, free or past its retention: write it */
     BK_CLAIM_MINE,      /* this nonce: the claim holds, send */
     BK_CLAIM_REPLAY,    /* done: answer with the recorded outcome */
     BK_CLAIM_BUSY,      /* somebody else's: BK_EINPROGRESS, do not send */
@@ -55,7 +57,10 @@
 } BkClaimVerdict;
 
 BkClaimVerdict BkClaim_Judge(const BkClaimRow *row, const char *nonce,
-                             const char *request);
+                             const char *request, BkMs retention);
+
+/* A fresh random nonce: 32 hex digits and a zero byte. */
+void BkClaim_MakeNonce(char *hex);
 
 /* Row key of a caller's key: 64 hex digits and a zero byte. */
 void BkClaim_RowKey(BkStr caller, BkStr key, char *hex);
@@ -71,10 +76,18 @@
 /*
  * The batcher: while one transaction is in flight the next ones collect.
  * A conflict of one claim does not hurt the others: they go again without
- * it. An unknown outcome is resolved by reading the rows back.
+ * it. After an unknown outcome the same transaction goes again: what has
+ * landed shows as a conflict with rows of our own nonce. A claim given up
+ * while it may still land is never sent; its row is freed in the background.
  */
 typedef struct BkClaimBook BkClaimBook;
 
+/* Where the batcher commits; the platform, or a script in tests. */
+typedef struct BkClaimStore {
+    void (*commit)(void *arg, const BkTxn *txn, BkPlatFn fn, void *fn_arg);
+    void *arg;
+} BkClaimStore;
+
 /* verdict: of a claim; a claim that was written gives BK_CLAIM_MINE. row is
  * valid during the callback. status: BK_OK, or BK_EPLATFORM when it is
  * certain or must be assumed that the platform cannot be asked: then
@@ -82,25 +95,34 @@
 typedef void (*BkClaimFn)(BkStatus status, BkClaimVerdict verdict,
                           const BkClaimRow *row, void *arg);
 
-BkClaimBook *BkClaimBook_Create(BkLoop *loop, BkPlat *plat, BkMs patience);
+BkClaimBook *BkClaimBook_Create(BkLoop *loop, BkPlat *plat, BkMs patience,
+                                BkMs retention);
+BkClaimBook *BkClaimBook_CreateOn(BkLoop *loop, BkClaimStore store,
+                                  BkMs patience, BkMs retention);
+
+/* With a transaction in flight, destroy the store first. */
 void BkClaimBook_Destroy(BkClaimBook *book);
 
-/* Claims; fn is called once, within patience. Returns a handle for Cancel. */
+/* Claims; fn is called once, within patience, and never before this
+ * returns. Returns a handle for Cancel, valid until fn is called. */
 typedef struct BkClaimWish BkClaimWish;
 BkClaimWish *BkClaimBook_Claim(BkClaimBook *book, const char *row_key,
                                const char *nonce, const char *request,
                                BkClaimFn fn, void *arg);
+
+/* Gives up; fn is not called, and the row is freed if it was written. */
 void BkClaimBook_Cancel(BkClaimWish *wish);
 
 /* Records an outcome; retried in the background until it is written. */
 void BkClaimBook_Record(BkClaimBook *book, const char *row_key,
                         const BkClaimRow *done);
 
-/* Gives a claim back; only when nothing was put on a wire. */
+/* Gives back the claim that this row shows; only when nothing was put on
+ * a wire. */
 void BkClaimBook_Release(BkClaimBook *book, const char *row_key,
-                         const char *nonce);
+                         const BkClaimRow *claimed);
 
-/* Outcomes not yet written; a planned stop waits for 0. */
+/* Outcomes and releases not yet written; a planned stop waits for 0. */
 int BkClaimBook_Pending(const BkClaimBook *book);
 
 #endif
--- /dev/null
+++ b/src/claim/claim.c
@@ -0,0 +1,244 @@
+#include "bk/claim/claim.h"
+
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/bundle/bundle.h"
+
+static const char *const state_names[] = {
+    [BK_CLAIM_ABSENT] = "absent",
+    [BK_CLAIM_CLAIMED] = "claimed",
+    [BK_CLAIM_FREE] = "free",
+    [BK_CLAIM_DONE] = "done",
+};
+
+BkClaimVerdict
+BkClaim_Judge(const BkClaimRow *row, const char *nonce, const char *request,
+              BkMs retention)
+{
+    bool mine = strcmp(row->nonce, nonce) == 0;
+
+    if (row->state == BK_CLAIM_ABSENT || row->state == BK_CLAIM_FREE) {
+        return BK_CLAIM_MAY_CLAIM;
+    }
+    if (mine && row->state == BK_CLAIM_CLAIMED) {
+        return BK_CLAIM_MINE;
+    }
+    if (row->age > retention) {
+        return BK_CLAIM_MAY_CLAIM;
+    }
+    if (strcmp(row->request, request) != 0) {
+        return BK_CLAIM_REUSED;
+    }
+    return row->state == BK_CLAIM_DONE ? BK_CLAIM_REPLAY : BK_CLAIM_BUSY;
+}
+
+void
+BkClaim_MakeNonce(char *hex)
+{
+    unsigned char bytes[BK_CLAIM_NONCE_BYTES];
+
+    randombytes_buf(bytes, sizeof(bytes));
+    sodium_bin2hex(hex, sizeof(bytes) * 2 + 1, bytes, sizeof(bytes));
+}
+
+/* each part goes in with its length, so that parts cannot run together */
+static void
+digest_parts(const BkStr *parts, int count, char *hex)
+{
+    crypto_generichash_state state;
+    unsigned char digest[BK_DIGEST_BYTES];
+
+    crypto_generichash_init(&state, NULL, 0, sizeof(digest));
+    for (int i = 0; i < count; i++) {
+        uint64_t len = parts[i].len;
+        crypto_generichash_update(&state, (const unsigned char *)&len,
+                                  sizeof(len));
+        crypto_generichash_update(
+            &state, (const unsigned char *)(len == 0 ? "" : parts[i].ptr),
+            len);
+    }
+    crypto_generichash_final(&state, digest, sizeof(digest));
+    sodium_bin2hex(hex, BK_CLAIM_DIGEST_HEX, digest, sizeof(digest));
+}
+
+void
+BkClaim_RowKey(BkStr caller, BkStr key, char *hex)
+{
+    digest_parts((BkStr[]){caller, key}, 2, hex);
+}
+
+void
+BkClaim_RequestDigest(BkStr method, BkStr path, BkStr body, char *hex)
+{
+    digest_parts((BkStr[]){method, path, body}, 3, hex);
+}
+
+static void
+put_text(json_t *object, const char *name, const char *text)
+{
+    json_object_set_new(object, name, json_string(text == NULL ? "" : text));
+}
+
+/* as text where it is UTF-8, else in base64 */
+static void
+put_body(json_t *object, BkStr body)
+{
+    json_t *text = json_stringn(body.len == 0 ? "" : body.ptr, body.len);
+
+    if (text != NULL) {
+        json_object_set_new(object, "body", text);
+        return;
+    }
+    size_t size =
+        sodium_base64_encoded_len(body.len, sodium_base64_VARIANT_ORIGINAL);
+    char *coded = BkMem_New(size, 1);
+    sodium_bin2base64(coded, size, (const unsigned char *)body.ptr, body.len,
+                      sodium_base64_VARIANT_ORIGINAL);
+    put_text(object, "body64", coded);
+    free(coded);
+}
+
+void
+BkClaim_Encode(const BkClaimRow *row, BkBuf *out)
+{
+    json_t *object = json_object();
+
+    put_text(object, "state", state_names[row->state]);
+    put_text(object, "nonce", row->nonce);
+    put_text(object, "request", row->request);
+    if (row->state == BK_CLAIM_DONE) {
+        json_object_set_new(object, "code", json_integer(row->code));
+        put_text(object, "type", row->type);
+        if (row->too_large) {
+            json_object_set_new(object, "too_large", json_true());
+        }
+        else {
+            put_body(object, BkBuf_Str(&row->body));
+        }
+    }
+    char *text = json_dumps(object, JSON_COMPACT);
+    BkBuf_Append(out, BkStr_FromC(text));
+    free(text);
+    json_decref(object);
+}
+
+static int
+find_state(const char *name)
+{
+    for (int i = BK_CLAIM_CLAIMED; i <= BK_CLAIM_DONE; i++) {
+        if (name != NULL && strcmp(state_names[i], name) == 0) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static BkStatus
+get_text(const json_t *object, const char *name, char *out, size_t size)
+{
+    const char *text = json_string_value(json_object_get(object, name));
+
+    if (text == NULL || strlen(text) != size - 1) {
+        return BkErr_Set(BK_EDECODE, "a claim's \"%s\" is malformed", name);
+    }
+    memcpy(out, text, size);
+    return BK_OK;
+}
+
+static BkStatus
+get_body(const json_t *object, BkBuf *out)
+{
+    const json_t *text = json_object_get(object, "body");
+    const char *coded = json_string_value(json_object_get(object, "body64"));
+
+    if (json_is_string(text)) {
+        return BkBuf_Append(out, (BkStr){json_string_value(text),
+                                         json_string_length(text)});
+    }
+    if (coded == NULL) {
+        return BkErr_Set(BK_EDECODE, "a claim's outcome has no body");
+    }
+    size_t size = strlen(coded);
+    unsigned char *bytes = BkMem_New(size, 1);
+    size_t len = 0;
+    BkStatus status = BK_OK;
+    if (sodium_base642bin(bytes, size, coded, size, NULL, &len, NULL,
+                          sodium_base64_VARIANT_ORIGINAL) != 0) {
+        status = BkErr_Set(BK_EDECODE, "a claim's body is not base64");
+    }
+    else {
+        status = BkBuf_Append(out, (BkStr){(const char *)bytes, len});
+    }
+    free(bytes);
+    return status;
+}
+
+static BkStatus
+get_outcome(BkClaimRow *row, const json_t *object)
+{
+    const char *type = json_string_value(json_object_get(object, "type"));
+
+    row->code = (int)json_integer_value(json_object_get(object, "code"));
+    row->type = BkStr_Dup(BkStr_FromC(type));
+    row->too_large = json_is_true(json_object_get(object, "too_large"));
+    if (row->code < 100 || row->code > 999) {
+        return BkErr_Set(BK_EDECODE, "a claim's code is out of range");
+    }
+    return row->too_large ? BK_OK : get_body(object, &row->body);
+}
+
+static BkStatus
+decode_object(BkClaimRow *row, const json_t *object)
+{
+    int state =
+        find_state(json_string_value(json_object_get(object, "state")));
+
+    if (state < 0) {
+        return BkErr_Set(BK_EDECODE, "a claim has an unknown state");
+    }
+    row->state = (BkClaimState)state;
+    BkStatus status = get_text(object, "nonce", row->nonce,
+                               sizeof(row->nonce));
+    if (status == BK_OK) {
+        status = get_text(object, "request", row->request,
+                          sizeof(row->request));
+    }
+    if (status == BK_OK && row->state == BK_CLAIM_DONE) {
+        status = get_outcome(row, object);
+    }
+    return status;
+}
+
+BkStatus
+BkClaim_Decode(BkClaimRow *row, BkStr json, uint64_t version)
+{
+    *row = (BkClaimRow){.version = version};
+    row->body = BkBuf_Make(0);
+    if (version == 0) {
+        return BK_OK;
+    }
+    json_t *object = json_loadb(json.len == 0 ? "" : json.ptr, json.len,
+                                JSON_REJECT_DUPLICATES, NULL);
+    if (object == NULL) {
+        return BkErr_Set(BK_EDECODE, "a claim is not JSON");
+    }
+    BkStatus status = decode_object(row, object);
+    json_decref(object);
+    if (status != BK_OK) {
+        BkClaim_Clear(row);
+    }
+    return status;
+}
+
+void
+BkClaim_Clear(BkClaimRow *row)
+{
+    free(row->type);
+    row->type = NULL;
+    BkBuf_Destroy(&row->body);
+    row->state = BK_CLAIM_ABSENT;
+}
--- /dev/null
+++ b/src/entry/decide.c
@@ -0,0 +1,109 @@
+#include "bk/entry/decide.h"
+
+enum {
+    HTTP_OK = 200,
+    HTTP_NOT_FOUND = 404,
+    HTTP_TOO_MANY = 429,
+    HTTP_SERVER_FAULT = 500,
+    HTTP_UNAVAILABLE = 503
+};
+
+static bool
+refused_before_run(const BkAttemptEnd *end)
+{
+    if (end->status != BK_OK || !end->not_run) {
+        return false;
+    }
+    return end->code == HTTP_NOT_FOUND || end->code == HTTP_TOO_MANY ||
+           end->code == HTTP_UNAVAILABLE;
+}
+
+bool
+BkDecide_NotRun(const BkAttemptEnd *end)
+{
+    return end->status == BK_ECONNECT || !end->sent ||
+           refused_before_run(end);
+}
+
+BkStatus
+BkDecide_Final(BkStatus status, bool ran_before)
+{
+    if (ran_before && BkStatus_Info(status)->outcome == BK_OUTCOME_NOT_RUN) {
+        return BK_EUNKNOWN;
+    }
+    return status;
+}
+
+static bool
+is_whole(const BkAttemptEnd *end)
+{
+    if (end->status != BK_OK || end->code >= HTTP_SERVER_FAULT) {
+        return false;
+    }
+    if (end->stream && end->code == HTTP_OK) {
+        return end->whole_stream;
+    }
+    /* an error in place of events already begun is no answer */
+    return !end->opened && !end->resumed;
+}
+
+static BkStatus
+name_failure(const BkAttemptEnd *end)
+{
+    BkStatus status = BK_EUNKNOWN;
+
+    if (BkDecide_NotRun(end)) {
+        status = refused_before_run(end) ? BK_EREFUSED : BK_ECONNECT;
+    }
+    else if (!end->repeatable) {
+        return BK_EUNKNOWN;
+    }
+    else if (end->status == BK_OK && end->code >= HTTP_SERVER_FAULT) {
+        status = BK_EUPSTREAM;
+    }
+    else if (end->status == BK_OK || end->status == BK_ETRUNCATED) {
+        status = BK_ETRUNCATED;
+    }
+    else if (end->status == BK_ETIMEOUT) {
+        status = BK_ETIMEOUT;
+    }
+    return BkDecide_Final(status, end->ran_before);
+}
+
+static bool
+may_resume(const BkAttemptEnd *end)
+{
+    bool begun = end->opened || end->code == HTTP_OK;
+
+    if (!end->stream || !begun || end->bad_stream || BkDecide_NotRun(end)) {
+        return false;
+    }
+    return (end->progress || !end->resumed) && end->code == HTTP_OK;
+}
+
+BkDecision
+BkDecide_Next(const BkAttemptEnd *end)
+{
+    BkDecision decision = {BK_NEXT_FAIL, name_failure(end)};
+    bool not_run = BkDecide_NotRun(end);
+
+    if (!not_run && (end->whole_stream || is_whole(end))) {
+        return (BkDecision){BK_NEXT_DELIVER, BK_OK};
+    }
+    if (end->tries_left <= 0 || (!not_run && !end->repeatable)) {
+        return decision;
+    }
+    if (may_resume(end)) {
+        decision.step = BK_NEXT_RESUME;
+    }
+    else if (end->opened || end->resumed) {
+        decision.step = end->can_copy ? BK_NEXT_OTHER : BK_NEXT_FAIL;
+    }
+    else if (end->status == BK_ECONNECT || !end->sent) {
+        decision.step = BK_NEXT_OTHER;
+    }
+    else {
+        decision.step = BK_NEXT_RETRY;
+    }
+    return decision;
+}
--- /dev/null
+++ b/src/entry/ticket.c
@@ -0,0 +1,128 @@
+#include "bk/entry/ticket.h"
+
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    TICKET_MAX_BYTES = 1024,
+    FIELDS = 8
+};
+
+#define TICKET_FORM "1"
+
+BkStatus
+BkTicket_DeriveKey(const char *secret, unsigned char *key)
+{
+    static const char purpose[] = "burdockkeel resume ticket";
+    unsigned char root[BK_TICKET_KEY_BYTES];
+    size_t len = 0;
+
+    if (secret == NULL || strlen(secret) != sizeof(root) * 2 ||
+        sodium_hex2bin(root, sizeof(root), secret, strlen(secret), NULL, &len,
+                       NULL) != 0 ||
+        len != sizeof(root)) {
+        return BkErr_Set(BK_ECONFIG, "[daemon] secret: expected 64 hex digits");
+    }
+    crypto_generichash(key, BK_TICKET_KEY_BYTES,
+                       (const unsigned char *)purpose, sizeof(purpose), root,
+                       sizeof(root));
+    return BK_OK;
+}
+
+void
+BkTicket_Seal(const BkTicket *ticket, const unsigned char *key, BkBuf *out)
+{
+    BkBuf plain = BkBuf_Make(0);
+    unsigned char sealed[TICKET_MAX_BYTES];
+    unsigned char *box = sealed + crypto_secretbox_NONCEBYTES;
+    char text[sodium_base64_ENCODED_LEN(
+        TICKET_MAX_BYTES, sodium_base64_VARIANT_URLSAFE_NO_PADDING)];
+
+    BkBuf_Printf(&plain, "%s\n%s\n%s\n%s\n%s\n%u\n%u\n%u", TICKET_FORM,
+                 ticket->request, ticket->caller, ticket->item, ticket->entry,
+                 ticket->upstream, ticket->boot, ticket->attempt);
+    randombytes_buf(sealed, crypto_secretbox_NONCEBYTES);
+    crypto_secretbox_easy(box, (const unsigned char *)plain.ptr, plain.len,
+                          sealed, key);
+    size_t len = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES +
+                 plain.len;
+    sodium_bin2base64(text, sizeof(text), sealed, len,
+                      sodium_base64_VARIANT_URLSAFE_NO_PADDING);
+    BkBuf_Append(out, BkStr_FromC(text));
+    BkBuf_Destroy(&plain);
+}
+
+static BkStatus
+refuse_ticket(void)
+{
+    return BkErr_Set(BK_ETICKET, "the resume ticket is not valid");
+}
+
+static bool
+take_name(BkStr field, char *out)
+{
+    if (field.len > BK_TICKET_NAME) {
+        return false;
+    }
+    memcpy(out, field.len == 0 ? "" : field.ptr, field.len);
+    out[field.len] = '\0';
+    return true;
+}
+
+static bool
+take_number(BkStr field, uint32_t *out)
+{
+    uint64_t value = 0;
+
+    if (BkStr_ToU64(field, &value) != BK_OK || value > UINT32_MAX) {
+        return false;
+    }
+    *out = (uint32_t)value;
+    return true;
+}
+
+static BkStatus
+parse_plain(BkTicket *out, BkStr plain)
+{
+    BkStr fields[FIELDS];
+    int count = 0;
+
+    while (plain.len > 0 && count < FIELDS) {
+        fields[count++] = BkStr_Split(&plain, '\n');
+    }
+    if (count != FIELDS || !BkStr_Equal(fields[0], BK_STR(TICKET_FORM)) ||
+        !take_name(fields[1], out->request) ||
+        !take_name(fields[2], out->caller) ||
+        !take_name(fields[3], out->item) ||
+        !take_name(fields[4], out->entry) ||
+        !take_number(fields[5], &out->upstream) ||
+        !take_number(fields[6], &out->boot) ||
+        !take_number(fields[7], &out->attempt)) {
+        return refuse_ticket();
+    }
+    return BK_OK;
+}
+
+BkStatus
+BkTicket_Open(BkTicket *out, BkStr text, const unsigned char *key)
+{
+    unsigned char sealed[TICKET_MAX_BYTES];
+    unsigned char plain[TICKET_MAX_BYTES];
+    size_t overhead = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES;
+    size_t len = 0;
+
+    if (text.len == 0 ||
+        sodium_base642bin(sealed, sizeof(sealed), text.ptr, text.len, NULL,
+                          &len, NULL,
+                          sodium_base64_VARIANT_URLSAFE_NO_PADDING) != 0 ||
+        len <= overhead) {
+        return refuse_ticket();
+    }
+    if (crypto_secretbox_open_easy(plain, sealed + crypto_secretbox_NONCEBYTES,
+                                   len - crypto_secretbox_NONCEBYTES, sealed,
+                                   key) != 0) {
+        return refuse_ticket();
+    }
+    return parse_plain(out, (BkStr){(char *)plain, len - overhead});
+}
