--- /dev/null
+++ b/src/entry/cancel.c
@@ -0,0 +1,154 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/entry/relay.h"
+
+enum {
+    CANCEL_TIMEOUT_MS = 2000,
+    CANCEL_ANSWER_BYTES = 4096
+};
+
+#define RESUMED_PATH "/ops/resumed/"
+
+struct BkCancel {
+    BkEntry *entry;
+    BkTimer *timer;
+    char request[BK_REQUEST_ID_BYTES];
+    char addr[64];
+    BkCancel *prev;
+    BkCancel *next;
+};
+
+static void
+free_cancel(BkCancel *cancel)
+{
+    if (cancel->prev != NULL) {
+        cancel->prev->next = cancel->next;
+    }
+    else {
+        cancel->entry->cancels = cancel->next;
+    }
+    if (cancel->next != NULL) {
+        cancel->next->prev = cancel->prev;
+    }
+    BkTimer_Destroy(cancel->timer);
+    free(cancel);
+}
+
+static void
+ignore_answer(const BkHttpResult *result, BkStr body, void *arg)
+{
+    (void)result;
+    (void)body;
+    (void)arg;
+}
+
+static void
+send_note(BkEntry *entry, const char *method, const char *url)
+{
+    BkHttpSpec spec = {
+        .method = method,
+        .url = url,
+        .timeout = CANCEL_TIMEOUT_MS,
+    };
+
+    BkHttpClient_Fetch(entry->daemon->http, &spec, CANCEL_ANSWER_BYTES,
+                       ignore_answer, NULL);
+}
+
+static void
+send_cancel(BkEntry *entry, const char *request, const char *addr)
+{
+    char url[256];
+
+    snprintf(url, sizeof(url), "http://%s/v1/streams/%s", addr, request);
+    BkCounter_Add(entry->counters.cancels, 1);
+    send_note(entry, "DELETE", url);
+}
+
+static void
+end_grace(void *arg)
+{
+    BkCancel *cancel = arg;
+
+    send_cancel(cancel->entry, cancel->request, cancel->addr);
+    free_cancel(cancel);
+}
+
+void
+BkCancel_Schedule(BkEntry *entry, const char *request, const char *addr,
+                  BkMs after)
+{
+    if (after == 0) {
+        send_cancel(entry, request, addr);
+        return;
+    }
+    BkCancel *cancel = BkMem_New(1, sizeof(*cancel));
+    cancel->entry = entry;
+    snprintf(cancel->request, sizeof(cancel->request), "%s", request);
+    snprintf(cancel->addr, sizeof(cancel->addr), "%s", addr);
+    cancel->next = entry->cancels;
+    if (cancel->next != NULL) {
+        cancel->next->prev = cancel;
+    }
+    entry->cancels = cancel;
+    cancel->timer = BkTimer_Create(entry->daemon->loop, end_grace, cancel);
+    BkTimer_Start(cancel->timer, after);
+}
+
+void
+BkCancel_Drop(BkEntry *entry, const char *request)
+{
+    BkCancel *next;
+
+    for (BkCancel *at = entry->cancels; at != NULL; at = next) {
+        next = at->next;
+        if (strcmp(at->request, request) == 0) {
+            free_cancel(at);
+        }
+    }
+}
+
+void
+BkCancel_DropAll(BkEntry *entry)
+{
+    while (entry->cancels != NULL) {
+        free_cancel(entry->cancels);
+    }
+}
+
+void
+BkCancel_TellResumed(BkEntry *entry, const char *ops, const char *request)
+{
+    char url[256];
+
+    if (strcmp(ops, entry->conf.daemon.ops) == 0) {
+        return;
+    }
+    snprintf(url, sizeof(url), "http://%s" RESUMED_PATH "%s", ops, request);
+    send_note(entry, "POST", url);
+}
+
+bool
+BkCancel_TakeResumed(BkEntry *entry, BkHttpReq *req)
+{
+    BkStr path = BkHttpReq_Path(req);
+    BkStr prefix = BK_STR(RESUMED_PATH);
+    char request[BK_REQUEST_ID_BYTES];
+
+    if (!BkStr_StartsWith(path, prefix)) {
+        return false;
+    }
+    snprintf(request, sizeof(request), "%.*s", (int)(path.len - prefix.len),
+             path.ptr + prefix.len);
+    BkCancel_Drop(entry, request);
+    for (BkRelay *at = entry->relays; at != NULL; at = at->next) {
+        if (strcmp(at->request, request) == 0) {
+            at->handed_over = true;
+        }
+    }
+    BkHttpReq_Reply(req, 200, NULL, BK_STR("application/json"),
+                    BK_STR("{}"));
+    return true;
+}
--- /dev/null
+++ b/src/entry/demand.c
@@ -0,0 +1,116 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/entry/entry.h"
+
+enum {
+    DEMAND_PERIOD_MS = 5000
+};
+
+typedef struct Row {
+    bkg_demand_row sums;
+    uint64_t told; /* requests as of the last message */
+} Row;
+
+struct BkDemand {
+    BkDaemon *daemon;
+    BkTimer *timer;
+    Row *rows; /* sorted by key */
+    int count;
+    int cap;
+    int next; /* row to look at first in the next message */
+};
+
+static Row *
+find_row(BkDemand *demand, const char *item)
+{
+    uint32_t key = BkBundle_Key(BkStr_FromC(item));
+    int low = 0;
+    int high = demand->count;
+
+    while (low < high) {
+        int middle = low + (high - low) / 2;
+        if (demand->rows[middle].sums.key < key) {
+            low = middle + 1;
+        }
+        else {
+            high = middle;
+        }
+    }
+    if (low < demand->count && demand->rows[low].sums.key == key) {
+        return &demand->rows[low];
+    }
+    if (demand->count == demand->cap) {
+        demand->cap = demand->cap == 0 ? 16 : demand->cap * 2;
+        demand->rows =
+            BkMem_Grow(demand->rows, (size_t)demand->cap, sizeof(Row));
+    }
+    memmove(&demand->rows[low + 1], &demand->rows[low],
+            (size_t)(demand->count - low) * sizeof(Row));
+    demand->count++;
+    demand->rows[low] = (Row){.sums = {.key = key}};
+    return &demand->rows[low];
+}
+
+/* rows that changed; with more than fit, the next message goes on */
+static void
+send_demand(void *arg)
+{
+    BkDemand *demand = arg;
+    BkDaemon *daemon = demand->daemon;
+    bkg_demand_row rows[BKG_MAX_DEMAND];
+    bkg_demand message = {.daemon = daemon->conf->name,
+                          .epoch = daemon->epoch};
+    u_int count = 0;
+
+    for (int i = 0; i < demand->count && count < BKG_MAX_DEMAND; i++) {
+        Row *row = &demand->rows[demand->next++ % demand->count];
+        if (row->sums.requests != row->told) {
+            row->told = row->sums.requests;
+            rows[count++] = row->sums;
+        }
+    }
+    if (demand->count > 0) {
+        demand->next %= demand->count;
+    }
+    message.rows.rows_len = count;
+    message.rows.rows_val = rows;
+    if (count > 0) {
+        BkDaemon_SendDemand(daemon, &message);
+    }
+    BkTimer_Start(demand->timer, DEMAND_PERIOD_MS);
+}
+
+BkDemand *
+BkDemand_Create(BkDaemon *daemon)
+{
+    BkDemand *demand = BkMem_New(1, sizeof(*demand));
+
+    demand->daemon = daemon;
+    demand->timer = BkTimer_Create(daemon->loop, send_demand, demand);
+    BkTimer_Start(demand->timer,
+                  BkRng_Below(&daemon->rng, DEMAND_PERIOD_MS));
+    return demand;
+}
+
+void
+BkDemand_Destroy(BkDemand *demand)
+{
+    if (demand != NULL) {
+        BkTimer_Destroy(demand->timer);
+        free(demand->rows);
+        free(demand);
+    }
+}
+
+void
+BkDemand_NoteRequest(BkDemand *demand, const char *item)
+{
+    find_row(demand, item)->sums.requests++;
+}
+
+void
+BkDemand_NoteBusy(BkDemand *demand, const char *item, BkMs busy)
+{
+    find_row(demand, item)->sums.busy_ms += (uint64_t)busy;
+}
--- /dev/null
+++ b/src/entry/entry.c
@@ -0,0 +1,168 @@
+#include "bk/entry/entry.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bk/base/log.h"
+#include "bk/entry/relay.h"
+
+enum {
+    STOP_LOOK_MS = 20,
+    IDLE_MS = 60000, /* of a connection without a request */
+    BUDGET_MOST = 50 /* retries saved up */
+};
+
+static void
+on_bundle(const BkBundle *bundle, BkView *view, void *arg)
+{
+    BkEntry *entry = arg;
+    BkFair *old = entry->fair;
+
+    (void)view;
+    entry->fair = BkFair_Create(bundle, (int)entry->conf.most_in_flight);
+    BkRelay_EnterAll(entry);
+    BkFair_Destroy(old);
+}
+
+/* the callers' port is closed only when all that was begun is done and
+ * every outcome is written */
+static void
+look_whether_done(void *arg)
+{
+    BkEntry *entry = arg;
+
+    if (!entry->quiesced) {
+        entry->quiesced = true;
+        BkHttpServer_Quiesce(entry->server);
+    }
+    if (BkHttpServer_Active(entry->server) == 0 && entry->relays == NULL &&
+        BkClaimBook_Pending(entry->book) == 0) {
+        BkDaemon_Finish(entry->daemon);
+        return;
+    }
+    BkTimer_Start(entry->stop_timer, STOP_LOOK_MS);
+}
+
+/* until the balancer has seen /readyz, requests still come and are served */
+static void
+on_stop(void *arg)
+{
+    BkEntry *entry = arg;
+
+    BkTimer_Start(entry->stop_timer, entry->conf.daemon.balancer_wait);
+}
+
+static bool
+on_ops(BkHttpReq *req, void *arg)
+{
+    return BkCancel_TakeResumed(arg, req);
+}
+
+static BkRouteConf
+make_route_conf(const BkEntryConf *conf)
+{
+    return (BkRouteConf){
+        .policy = BK_ROUTE_CORRECTED,
+        .stale_after = conf->daemon.stale_after,
+        .service_time = conf->service_time,
+        .first_byte = conf->first_byte,
+        .affinity_slack = conf->affinity_slack,
+    };
+}
+
+static BkStatus
+start_server(BkEntry *entry)
+{
+    const BkEntryConf *conf = &entry->conf;
+    BkHttpServerSpec spec = {
+        .listen = conf->listen,
+        .max_body = conf->max_body,
+        .max_header = conf->max_header,
+        .max_connections = (int)conf->max_connections,
+        .stream_buffer = conf->stream_buffer,
+        .idle_timeout = IDLE_MS,
+        .handler = BkEntry_Handle,
+        .arg = entry,
+    };
+
+    entry->server = BkHttpServer_Create(entry->daemon->loop, &spec);
+    return entry->server == NULL ? BK_EIO : BK_OK;
+}
+
+static BkStatus
+start_entry(BkEntry *entry)
+{
+    const BkEntryConf *conf = &entry->conf;
+    BkDaemonHooks hooks = {
+        .on_bundle = on_bundle,
+        .on_stop = on_stop,
+        .on_ops = on_ops,
+        .arg = entry,
+    };
+
+    if (BkTicket_DeriveKey(conf->daemon.secret, entry->ticket_key) !=
+        BK_OK) {
+        return BK_ECONFIG;
+    }
+    entry->counters = BkEntryCounters_Get();
+    entry->daemon = BkDaemon_Create(&conf->daemon, BK_ROLE_ENTRY, &hooks);
+    if (entry->daemon == NULL) {
+        return BK_EIO;
+    }
+    entry->book =
+        BkClaimBook_Create(entry->daemon->loop, entry->daemon->plat,
+                           conf->claim_patience, conf->claim_retention);
+    entry->route.conf = make_route_conf(conf);
+    entry->route.rng = BkRng_Make(BkRng_Next(&entry->daemon->rng));
+    entry->budget = (BkRetryBudget){
+        .tokens = BUDGET_MOST,
+        .per_request = conf->retry_share,
+        .most = BUDGET_MOST,
+    };
+    entry->demand = BkDemand_Create(entry->daemon);
+    entry->stop_timer =
+        BkTimer_Create(entry->daemon->loop, look_whether_done, entry);
+    return start_server(entry);
+}
+
+static void
+close_entry(BkEntry *entry)
+{
+    if (entry->daemon == NULL) {
+        return;
+    }
+    BkHttpServer_Destroy(entry->server);
+    BkCancel_DropAll(entry);
+    BkClaimBook_Destroy(entry->book);
+    BkDemand_Destroy(entry->demand);
+    BkTimer_Destroy(entry->stop_timer);
+    BkRoute_Destroy(&entry->route);
+    BkFair_Destroy(entry->fair);
+    BkDaemon_Destroy(entry->daemon);
+}
+
+int
+main(int argc, char **argv)
+{
+    static BkEntry entry;
+    int count = 0;
+    BkSettingSpec *specs = BkEntry_Specs(&count);
+
+    BkDaemon_ParseArgs(argc, argv, "bk-entry",
+                       "Takes callers' requests to models and services.",
+                       specs, count, &entry.conf);
+    BkStatus status = BkEntry_CheckConf(&entry.conf);
+    if (status == BK_OK) {
+        status = start_entry(&entry);
+    }
+    if (status == BK_OK) {
+        BkDaemon_Run(entry.daemon);
+    }
+    else {
+        fprintf(stderr, "bk-entry: %s\n", BkErr_Last());
+    }
+    close_entry(&entry);
+    BkSettings_Destroy(specs, count, &entry.conf);
+    free(specs);
+    return (int)status;
+}
--- /dev/null
+++ b/src/entry/handlers.c
@@ -0,0 +1,411 @@
+#include <jansson.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/entry/codec.h"
+#include "bk/entry/relay.h"
+
+enum {
+    HTTP_OK = 200,
+    REQUEST_ID_GIVEN = 64, /* characters a caller may choose */
+    REQUEST_ID_RANDOM = 4, /* bytes */
+    RETRY_AFTER_MS = 1000
+};
+
+#define APP_PREFIX BK_STR("/app/")
+
+/* what every handler needs to know of a request */
+typedef struct Context {
+    BkEntry *entry;
+    BkHttpReq *req;
+    char request[BK_REQUEST_ID_BYTES];
+    int caller;
+    const BkBundle *bundle;
+} Context;
+
+void
+BkEntry_ReplyError(BkHttpReq *req, const char *request, BkStatus status,
+                   const char *message, BkMs retry_after)
+{
+    char id[BK_REQUEST_ID_BYTES + 32];
+    char wait[64];
+    const char *headers[3] = {NULL, NULL, NULL};
+    int count = 0;
+    BkBuf body = BkBuf_Make(0);
+
+    if (request != NULL && request[0] != '\0') {
+        snprintf(id, sizeof(id), "X-Request-Id: %s", request);
+        headers[count++] = id;
+    }
+    if (retry_after > 0) {
+        snprintf(wait, sizeof(wait), "Retry-After: %lld",
+                 (long long)((retry_after + BK_MS_PER_S - 1) / BK_MS_PER_S));
+        headers[count++] = wait;
+    }
+    BkError_Encode(status, message, retry_after, &body);
+    BkHttpReq_Reply(req, BkStatus_Info(status)->http, headers,
+                    BK_STR("application/json"), BkBuf_Str(&body));
+    BkBuf_Destroy(&body);
+}
+
+static bool
+is_id_char(char c)
+{
+    return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') ||
+           (c >= '0' && c <= '9') || c == '-' || c == '_' || c == '.';
+}
+
+/* two callers may choose the same id, and an upstream knows a stream by its
+ * id alone; the random part keeps them apart */
+BkStatus
+BkEntry_RequestId(const BkHttpReq *req, char *id, size_t size)
+{
+    BkStr given = BkHttpReq_Header(req, "X-Request-Id");
+    unsigned char bytes[REQUEST_ID_RANDOM * 2];
+    char hex[sizeof(bytes) * 2 + 1];
+
+    id[0] = '\0';
+    for (size_t i = 0; i < given.len; i++) {
+        if (given.len > REQUEST_ID_GIVEN || !is_id_char(given.ptr[i])) {
+            return BkErr_Set(BK_EINVAL,
+                             "X-Request-Id: up to %d of A-Z a-z 0-9 - _ .",
+                             REQUEST_ID_GIVEN);
+        }
+    }
+    randombytes_buf(bytes, sizeof(bytes));
+    if (given.len == 0) {
+        sodium_bin2hex(hex, sizeof(hex), bytes, sizeof(bytes));
+        snprintf(id, size, "%s", hex);
+    }
+    else {
+        sodium_bin2hex(hex, sizeof(hex), bytes, REQUEST_ID_RANDOM);
+        snprintf(id, size, "%.*s.%s", BK_STR_ARG(given), hex);
+    }
+    return BK_OK;
+}
+
+static void
+refuse(const Context *context, BkStatus status, const char *message)
+{
+    BkEntryCounters_NoteOutcome(status);
+    BkEntry_ReplyError(context->req, context->request, status, message, 0);
+}
+
+static BkStatus
+read_span(const Context *context, BkMs *span)
+{
+    BkStr given = BkHttpReq_Header(context->req, "X-Deadline-Ms");
+    uint64_t value = 0;
+
+    *span = context->entry->conf.deadline;
+    if (given.len == 0) {
+        return BK_OK;
+    }
+    if (BkStr_ToU64(given, &value) != BK_OK || value == 0 ||
+        value > (uint64_t)context->entry->conf.max_deadline) {
+        return BkErr_Set(BK_EINVAL, "X-Deadline-Ms: allowed are 1 to %lld",
+                         (long long)context->entry->conf.max_deadline);
+    }
+    *span = (BkMs)value;
+    return BK_OK;
+}
+
+static BkStatus
+check_key(BkStr key)
+{
+    if (key.len == 0) {
+        return BkErr_Set(BK_EKEYNEEDED,
+                         "this call may not be repeated; it needs an "
+                         "Idempotency-Key");
+    }
+    for (size_t i = 0; i < key.len; i++) {
+        if (key.len > BK_CLAIM_MAX_KEY || key.ptr[i] < 0x21 ||
+            key.ptr[i] > 0x7e) {
+            return BkErr_Set(BK_EINVAL,
+                             "Idempotency-Key: up to %d printable characters",
+                             BK_CLAIM_MAX_KEY);
+        }
+    }
+    return BK_OK;
+}
+
+static BkStatus
+check_item(const Context *context, int item, BkStr name)
+{
+    if (item < 0) {
+        return BkErr_Set(BK_ENOMODEL, "\"%.*s\" is not in force",
+                         BK_STR_ARG(name));
+    }
+    if (!BkBundle_Allows(context->bundle, context->caller, item)) {
+        return BkErr_Set(BK_EDENIED, "\"%.*s\" is not for this caller",
+                         BK_STR_ARG(name));
+    }
+    return BK_OK;
+}
+
+/* the part of a start that all calls have in common */
+static BkStatus
+fill_start(const Context *context, int item, BkRelayStart *start)
+{
+    const BkItem *found = &context->bundle->items[item];
+
+    start->request = context->request;
+    start->caller = context->bundle->callers[context->caller].name;
+    start->item = found->name;
+    start->service = found->kind == BK_ITEM_SERVICE;
+    start->repeatable = found->repeatable;
+    start->key = BkHttpReq_Header(context->req, "Idempotency-Key");
+    BkStatus status = read_span(context, &start->span);
+    if (status == BK_OK && !start->repeatable) {
+        status = check_key(start->key);
+    }
+    return status;
+}
+
+static void
+start_relay(const Context *context, int item, BkRelayStart *start)
+{
+    BkStatus status = fill_start(context, item, start);
+
+    if (status == BK_OK && !start->repeatable && start->stream) {
+        status = BkErr_Set(BK_EINVAL, "a call that may not be repeated has "
+                                      "no stream: its answer is recorded "
+                                      "whole");
+    }
+    if (status != BK_OK) {
+        refuse(context, status, BkErr_Last());
+        return;
+    }
+    BkRelay_Start(context->entry, context->req, start);
+}
+
+static void
+serve_completion(const Context *context)
+{
+    BkCompletion completion;
+    BkStatus status =
+        BkCompletion_Parse(&completion, BkHttpReq_Body(context->req));
+
+    if (status != BK_OK) {
+        refuse(context, status, BkErr_Last());
+        return;
+    }
+    BkStr name = BkStr_FromC(completion.model);
+    int item = BkBundle_FindItem(context->bundle, name);
+    if (item >= 0 && context->bundle->items[item].kind == BK_ITEM_SERVICE) {
+        item = -1;
+    }
+    status = check_item(context, item, name);
+    if (status == BK_OK) {
+        BkRelayStart start = {
+            .stream = completion.stream,
+            .prefix_hash = completion.prefix_hash,
+        };
+        start_relay(context, item, &start);
+    }
+    else {
+        refuse(context, status, BkErr_Last());
+    }
+    BkCompletion_Clear(&completion);
+}
+
+static void
+serve_app(const Context *context)
+{
+    BkStr path = BkHttpReq_Path(context->req);
+    BkStr prefix = APP_PREFIX;
+    BkStr rest = {path.ptr + prefix.len, path.len - prefix.len};
+    BkStr name = BkStr_Split(&rest, '/');
+    int item = BkBundle_FindItem(context->bundle, name);
+    BkRelayStart start = {0};
+
+    if (item >= 0 && context->bundle->items[item].kind != BK_ITEM_SERVICE) {
+        item = -1;
+    }
+    BkStatus status = check_item(context, item, name);
+    if (status != BK_OK) {
+        refuse(context, status, BkErr_Last());
+        return;
+    }
+    start_relay(context, item, &start);
+}
+
+static const char *
+kind_name(BkItemKind kind)
+{
+    switch (kind) {
+    case BK_ITEM_MODEL:
+        return "model";
+    case BK_ITEM_ADAPTER:
+        return "adapter";
+    case BK_ITEM_SERVICE:
+        break;
+    }
+    return "service";
+}
+
+static void
+serve_models(const Context *context)
+{
+    const BkBundle *bundle = context->bundle;
+    json_t *list = json_array();
+
+    for (int i = 0; i < bundle->item_count; i++) {
+        const BkItem *item = &bundle->items[i];
+        if (BkBundle_Allows(bundle, context->caller, i)) {
+            json_array_append_new(
+                list, json_pack("{ss ss ss sb}", "id", item->name, "kind",
+                                kind_name(item->kind), "version",
+                                item->version, "repeatable",
+                                item->repeatable));
+        }
+    }
+    json_t *root = json_pack("{ss so}", "object", "list", "data", list);
+    char *text = json_dumps(root, JSON_COMPACT);
+    BkHttpReq_Reply(context->req, HTTP_OK, NULL, BK_STR("application/json"),
+                    BkStr_FromC(text));
+    free(text);
+    json_decref(root);
+}
+
+static BkStatus
+read_ticket(const Context *context, BkTicket *ticket, uint64_t *last)
+{
+    const char *caller = context->bundle->callers[context->caller].name;
+    BkStr sealed = BkHttpReq_Header(context->req, "X-Resume-Ticket");
+    BkStr event = BkHttpReq_Header(context->req, "Last-Event-ID");
+    BkStatus status =
+        BkTicket_Open(ticket, sealed, context->entry->ticket_key);
+
+    if (status == BK_OK && strcmp(ticket->caller, caller) != 0) {
+        status = BkErr_Set(BK_ETICKET, "the ticket is another caller's");
+    }
+    *last = 0;
+    if (status == BK_OK && event.len > 0 &&
+        BkStr_ToU64(event, last) != BK_OK) {
+        status = BkErr_Set(BK_EINVAL, "Last-Event-ID is not a number");
+    }
+    return status;
+}
+
+static void
+serve_resume(const Context *context)
+{
+    BkTicket ticket;
+    BkRelayStart start = {.ticket = &ticket, .stream = true};
+    BkStatus status = read_ticket(context, &ticket, &start.last_event);
+
+    if (status == BK_OK) {
+        BkStr name = BkStr_FromC(ticket.item);
+        int item = BkBundle_FindItem(context->bundle, name);
+        status = check_item(context, item, name);
+        if (status == BK_OK) {
+            status = fill_start(context, item, &start);
+        }
+    }
+    if (status != BK_OK) {
+        refuse(context, status, BkErr_Last());
+        return;
+    }
+    start.request = ticket.request;
+    BkRelay_Start(context->entry, context->req, &start);
+}
+
+/* sorted by path */
+static const struct {
+    const char *path;
+    const char *method; /* NULL: any */
+    bool prefix;        /* of longer paths */
+    void (*serve)(const Context *context);
+} handlers[] = {
+    {"/app/", NULL, true, serve_app},
+    {"/v1/chat/completions", "POST", false, serve_completion},
+    {"/v1/completions", "POST", false, serve_completion},
+    {"/v1/models", "GET", false, serve_models},
+    {"/v1/resume", "GET", false, serve_resume},
+};
+
+enum {
+    HANDLER_COUNT = sizeof(handlers) / sizeof(handlers[0])
+};
+
+static int
+find_handler(BkStr path)
+{
+    for (int i = 0; i < HANDLER_COUNT; i++) {
+        BkStr own = BkStr_FromC(handlers[i].path);
+        if (handlers[i].prefix ? BkStr_StartsWith(path, own)
+                               : BkStr_Equal(path, own)) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static BkStatus
+authenticate(Context *context)
+{
+    BkStr field = BkHttpReq_Header(context->req, "Authorization");
+    BkStr scheme = BK_STR("Bearer ");
+
+    if (!BkStr_StartsWith(field, scheme)) {
+        return BkErr_Set(BK_EAUTH, "Authorization: Bearer TOKEN is missing");
+    }
+    BkStr token = {field.ptr + scheme.len, field.len - scheme.len};
+    context->caller = BkBundle_FindCaller(context->bundle, token);
+    if (context->caller < 0) {
+        return BkErr_Set(BK_EAUTH, "no caller has this token");
+    }
+    return BK_OK;
+}
+
+static void
+dispatch(Context *context)
+{
+    int found = find_handler(BkHttpReq_Path(context->req));
+
+    if (found < 0) {
+        refuse(context, BK_ENOTFOUND, "no such path");
+        return;
+    }
+    if (handlers[found].method != NULL &&
+        !BkStr_Equal(BkHttpReq_Method(context->req),
+                     BkStr_FromC(handlers[found].method))) {
+        refuse(context, BK_EINVAL, "the path takes another method");
+        return;
+    }
+    handlers[found].serve(context);
+}
+
+void
+BkEntry_Handle(BkHttpReq *req, void *arg)
+{
+    BkEntry *entry = arg;
+    Context context = {
+        .entry = entry,
+        .req = req,
+        .bundle = entry->daemon->bundle,
+    };
+    BkStatus status =
+        BkEntry_RequestId(req, context.request, sizeof(context.request));
+
+    if (status != BK_OK) {
+        refuse(&context, status, BkErr_Last());
+        return;
+    }
+    if (entry->quiesced || context.bundle == NULL) {
+        status = entry->quiesced ? BK_ESTOPPING : BK_ENOTREADY;
+        BkEntryCounters_NoteOutcome(status);
+        BkEntry_ReplyError(req, context.request, status, NULL,
+                           RETRY_AFTER_MS);
+        return;
+    }
+    status = authenticate(&context);
+    if (status != BK_OK) {
+        refuse(&context, status, BkErr_Last());
+        return;
+    }
+    dispatch(&context);
+}
--- /dev/null
+++ b/src/entry/relay.c
@@ -0,0 +1,576 @@
+#include "bk/entry/relay.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+
+enum {
+    SEARCH_PAUSE_MS = 200,  /* between looks for a copy in mid-stream */
+    SEARCH_SPAN_MS = 60000, /* deadline of such a choice */
+    RETRY_AFTER_MS = 1000   /* where nobody gave a better figure */
+};
+
+#define JSON_TYPE BK_STR("application/json")
+
+static void on_timer(void *arg);
+static void on_close(BkHttpReq *req, bool complete, void *arg);
+
+static char *
+dup_text(const char *text)
+{
+    return BkStr_Dup(BkStr_FromC(text));
+}
+
+static BkRelay *
+create_relay(BkEntry *entry, BkHttpReq *req, const BkRelayStart *start)
+{
+    BkRelay *relay = BkMem_New(1, sizeof(*relay));
+
+    relay->entry = entry;
+    relay->req = req;
+    snprintf(relay->request, sizeof(relay->request), "%s", start->request);
+    relay->caller = dup_text(start->caller);
+    relay->item = dup_text(start->item);
+    relay->method = BkStr_Dup(BkHttpReq_Method(req));
+    relay->target = BkStr_Dup(BkHttpReq_Target(req));
+    relay->type = BkStr_Dup(BkHttpReq_Header(req, "Content-Type"));
+    relay->key = BkStr_Dup(start->key);
+    relay->repeatable = start->repeatable;
+    relay->service = start->service;
+    relay->stream = start->stream;
+    relay->prefix_hash = start->prefix_hash;
+    relay->started = BkClock_Now();
+    relay->deadline = relay->started + start->span;
+    relay->answer = BkBuf_Make(entry->conf.max_answer);
+    relay->text = BkBuf_Make(entry->conf.resume_text);
+    relay->timer = BkTimer_Create(entry->daemon->loop, on_timer, relay);
+    BkTimer_Start(relay->timer, start->span);
+    relay->next = entry->relays;
+    if (relay->next != NULL) {
+        relay->next->prev = relay;
+    }
+    entry->relays = relay;
+    entry->relay_count++;
+    BkCounter_Set(entry->counters.in_flight, entry->relay_count);
+    BkHttpReq_OnClose(req, on_close, relay);
+    return relay;
+}
+
+static void
+leave_fair(BkRelay *relay)
+{
+    BkEntry *entry = relay->entry;
+
+    if (!relay->entered) {
+        return;
+    }
+    relay->entered = false;
+    for (int i = 0; i < entry->daemon->bundle->caller_count; i++) {
+        if (strcmp(entry->daemon->bundle->callers[i].name, relay->caller) ==
+            0) {
+            BkFair_Leave(entry->fair, i, BkClock_Now());
+            return;
+        }
+    }
+}
+
+static void
+free_relay(BkRelay *relay)
+{
+    BkEntry *entry = relay->entry;
+
+    leave_fair(relay);
+    if (relay->prev != NULL) {
+        relay->prev->next = relay->next;
+    }
+    else {
+        entry->relays = relay->next;
+    }
+    if (relay->next != NULL) {
+        relay->next->prev = relay->prev;
+    }
+    entry->relay_count--;
+    BkCounter_Set(entry->counters.in_flight, entry->relay_count);
+    BkTimer_Destroy(relay->timer);
+    BkClaim_Clear(&relay->claim);
+    BkBuf_Destroy(&relay->answer);
+    BkBuf_Destroy(&relay->text);
+    free(relay->answer_type);
+    free(relay->caller);
+    free(relay->item);
+    free(relay->method);
+    free(relay->target);
+    free(relay->type);
+    free(relay->key);
+    free(relay);
+}
+
+void
+BkRelay_MaybeFree(BkRelay *relay)
+{
+    if (relay->answered && relay->req == NULL && relay->call == NULL &&
+        relay->wish == NULL) {
+        free_relay(relay);
+    }
+}
+
+static BkStatus
+enter_fair(BkRelay *relay, BkMs *retry_after)
+{
+    BkEntry *entry = relay->entry;
+    const BkBundle *bundle = entry->daemon->bundle;
+
+    for (int i = 0; i < bundle->caller_count; i++) {
+        if (strcmp(bundle->callers[i].name, relay->caller) == 0) {
+            BkStatus status = BkFair_Enter(entry->fair, i, BkClock_Now(),
+                                           retry_after);
+            relay->entered = status == BK_OK;
+            return status;
+        }
+    }
+    return BkErr_Set(BK_EAUTH, "the caller is not in the bundle any more");
+}
+
+void
+BkRelay_EnterAll(BkEntry *entry)
+{
+    BkMs ignored = 0;
+
+    for (BkRelay *relay = entry->relays; relay != NULL; relay = relay->next) {
+        if (relay->entered) {
+            relay->entered = false;
+            enter_fair(relay, &ignored);
+        }
+    }
+}
+
+void
+BkRelay_Finish(BkRelay *relay, BkStatus status)
+{
+    if (relay->opened && !relay->answered) {
+        BkCounter_Add(relay->entry->counters.streams, -1);
+    }
+    if (!relay->answered) {
+        BkEntryCounters_NoteOutcome(status);
+    }
+    relay->answered = true;
+    BkTimer_Stop(relay->timer);
+}
+
+/* the claim is given back only when nothing can have run */
+static void
+settle_claim(BkRelay *relay, BkStatus status)
+{
+    if (relay->claimed &&
+        BkStatus_Info(status)->outcome == BK_OUTCOME_NOT_RUN) {
+        BkClaimBook_Release(relay->entry->book, relay->row_key,
+                            &relay->claim);
+    }
+    relay->claimed = false;
+}
+
+void
+BkRelay_Fail(BkRelay *relay, BkStatus status, const char *message,
+             BkMs retry_after)
+{
+    char said[256];
+
+    status = BkDecide_Final(status, relay->ran_before);
+    snprintf(said, sizeof(said), "%s",
+             message == NULL ? BkStatus_Info(status)->text : message);
+    BK_LOG(BK_LOG_NOTICE, "relay", relay->request, "%s: %s",
+           BkStatus_Info(status)->name, said);
+    settle_claim(relay, status);
+    if (!relay->answered && relay->req != NULL) {
+        if (relay->opened) {
+            BkStream_Break(relay, status, said, retry_after);
+        }
+        else {
+            BkEntry_ReplyError(relay->req, relay->request, status, said,
+                               retry_after);
+        }
+    }
+    BkRelay_Finish(relay, status);
+    BkRelay_MaybeFree(relay);
+}
+
+/* the outcome is on its way to the table before the caller sees it */
+static void
+record_outcome(BkRelay *relay, int code, const char *type, BkStr body)
+{
+    BkClaimRow done = relay->claim;
+
+    done.code = code;
+    done.type = (char *)type;
+    done.too_large = relay->answer_too_large;
+    done.body = BkBuf_Make(0);
+    if (!done.too_large) {
+        BkBuf_Append(&done.body, body);
+    }
+    BkClaimBook_Record(relay->entry->book, relay->row_key, &done);
+    BkBuf_Destroy(&done.body);
+    relay->claimed = false;
+}
+
+void
+BkRelay_Deliver(BkRelay *relay, BkStatus status)
+{
+    const char *type =
+        relay->answer_type == NULL ? "" : relay->answer_type;
+    char request[96];
+    const char *const headers[] = {request, NULL};
+
+    snprintf(request, sizeof(request), "X-Request-Id: %s", relay->request);
+    if (relay->claimed) {
+        record_outcome(relay, relay->code, type, BkBuf_Str(&relay->answer));
+    }
+    if (relay->answer_too_large) {
+        BkRelay_Fail(relay, BK_EUPSTREAM,
+                     "it ran; its answer is larger than the limit", 0);
+        return;
+    }
+    if (!relay->answered && relay->req != NULL) {
+        BkLatency_Note(&relay->entry->counters.first_byte,
+                       BkClock_Now() - relay->started);
+        BkHttpReq_Reply(relay->req, relay->code, headers,
+                        BkStr_FromC(type), BkBuf_Str(&relay->answer));
+    }
+    BkBuf_Destroy(&relay->answer);
+    BkRelay_Finish(relay, status);
+    BkRelay_MaybeFree(relay);
+}
+
+static void
+replay_outcome(BkRelay *relay, const BkClaimRow *row)
+{
+    char request[96];
+    const char *const headers[] = {request, "Idempotent-Replayed: true",
+                                   NULL};
+
+    BkCounter_Add(relay->entry->counters.replays, 1);
+    if (row->too_large) {
+        BkRelay_Fail(relay, BK_EGONE,
+                     "it ran; its answer was too large to keep", 0);
+        return;
+    }
+    snprintf(request, sizeof(request), "X-Request-Id: %s", relay->request);
+    BkHttpReq_Reply(relay->req, row->code, headers, BkStr_FromC(row->type),
+                    BkBuf_Str(&row->body));
+    BkRelay_Finish(relay, BK_OK);
+    BkRelay_MaybeFree(relay);
+}
+
+static void
+copy_claim(BkRelay *relay, const BkClaimRow *row)
+{
+    relay->claimed = true;
+    relay->claim.state = BK_CLAIM_CLAIMED;
+    relay->claim.version = row->version;
+    memcpy(relay->claim.nonce, row->nonce, sizeof(row->nonce));
+    memcpy(relay->claim.request, row->request, sizeof(row->request));
+}
+
+static void
+take_claim(BkStatus status, BkClaimVerdict verdict, const BkClaimRow *row,
+           void *arg)
+{
+    BkRelay *relay = arg;
+
+    relay->wish = NULL;
+    if (status != BK_OK) {
+        BkRelay_Fail(relay, status, NULL, RETRY_AFTER_MS);
+        return;
+    }
+    switch (verdict) {
+    case BK_CLAIM_MINE:
+        copy_claim(relay, row);
+        BkRelay_Send(relay);
+        return;
+    case BK_CLAIM_REPLAY:
+        replay_outcome(relay, row);
+        return;
+    case BK_CLAIM_REUSED:
+        BkRelay_Fail(relay, BK_EKEYREUSED, NULL, 0);
+        return;
+    case BK_CLAIM_BUSY:
+    case BK_CLAIM_MAY_CLAIM:
+        break;
+    }
+    BkRelay_Fail(relay, BK_EINPROGRESS, NULL, RETRY_AFTER_MS);
+}
+
+static void
+start_claim(BkRelay *relay)
+{
+    char nonce[BK_CLAIM_NONCE_BYTES * 2 + 1];
+    char digest[BK_CLAIM_DIGEST_HEX];
+
+    BkClaim_MakeNonce(nonce);
+    BkClaim_RowKey(BkStr_FromC(relay->caller), BkStr_FromC(relay->key),
+                   relay->row_key);
+    BkClaim_RequestDigest(BkStr_FromC(relay->method),
+                          BkStr_FromC(relay->target),
+                          BkHttpReq_Body(relay->req), digest);
+    BkCounter_Add(relay->entry->counters.claims, 1);
+    relay->claimed_at = BkClock_Now();
+    relay->wish = BkClaimBook_Claim(relay->entry->book, relay->row_key, nonce,
+                                    digest, take_claim, relay);
+}
+
+static void
+start_resume(BkRelay *relay, const BkRelayStart *start)
+{
+    const BkTicket *ticket = start->ticket;
+
+    relay->from_ticket = true;
+    relay->all_gone = true;
+    relay->delivered = start->last_event;
+    relay->text_lost = true;
+    /* above any number that the other entry can have used since */
+    relay->attempt = ticket->attempt + (uint32_t)relay->entry->conf.attempts;
+    relay->up_key = ticket->upstream;
+    relay->up_boot = ticket->boot;
+    BkCancel_Drop(relay->entry, relay->request);
+    BkCancel_TellResumed(relay->entry, ticket->entry, relay->request);
+    BkRelay_Send(relay);
+}
+
+void
+BkRelay_Start(BkEntry *entry, BkHttpReq *req, const BkRelayStart *start)
+{
+    BkRelay *relay = create_relay(entry, req, start);
+    BkMs retry_after = 0;
+    BkStatus status = enter_fair(relay, &retry_after);
+
+    if (status != BK_OK) {
+        BkRelay_Fail(relay, status, BkErr_Last(), retry_after);
+        return;
+    }
+    BkDemand_NoteRequest(entry->demand, relay->item);
+    BkRetryBudget_Earn(&entry->budget);
+    if (start->ticket != NULL) {
+        start_resume(relay, start);
+    }
+    else if (relay->repeatable) {
+        BkRelay_Send(relay);
+    }
+    else {
+        start_claim(relay);
+    }
+}
+
+/* a stream that its caller has may be gone on with, here or elsewhere */
+static void
+cancel_work(BkRelay *relay)
+{
+    bool held = relay->opened || relay->from_ticket;
+
+    BkRelay_Abort(relay);
+    if (!relay->service && !relay->handed_over) {
+        BkCancel_Schedule(relay->entry, relay->request, relay->up_addr,
+                          held ? relay->entry->conf.resume_grace : 0);
+    }
+}
+
+/* the caller is gone: nobody waits for a repeatable answer */
+static void
+drop_work(BkRelay *relay)
+{
+    if (relay->wish != NULL) {
+        BkClaimBook_Cancel(relay->wish);
+        relay->wish = NULL;
+    }
+    if (relay->call != NULL && relay->repeatable) {
+        cancel_work(relay);
+    }
+    /* waiting between two attempts: neither has run */
+    if (relay->call == NULL && relay->claimed && !relay->ran_before) {
+        settle_claim(relay, BK_ENOTREADY);
+    }
+}
+
+static void
+on_close(BkHttpReq *req, bool complete, void *arg)
+{
+    BkRelay *relay = arg;
+
+    (void)req;
+    (void)complete;
+    relay->req = NULL;
+    if (!relay->answered) {
+        BK_LOG(BK_LOG_INFO, "relay", relay->request, "the caller has gone");
+        drop_work(relay);
+        BkRelay_Finish(relay, BK_EGONE);
+    }
+    BkRelay_MaybeFree(relay);
+}
+
+static void
+miss_deadline(BkRelay *relay)
+{
+    if (relay->wish != NULL) {
+        BkClaimBook_Cancel(relay->wish);
+        relay->wish = NULL;
+        BkRelay_Fail(relay, BK_EPLATFORM, NULL, RETRY_AFTER_MS);
+        return;
+    }
+    /* a non-repeatable call goes on, and its outcome is recorded */
+    if (relay->call != NULL && relay->repeatable) {
+        cancel_work(relay);
+    }
+    else if (relay->call != NULL) {
+        BkEntry_ReplyError(relay->req, relay->request, BK_ETIMEOUT,
+                           "no answer yet; ask again with the same key",
+                           RETRY_AFTER_MS);
+        BkRelay_Finish(relay, BK_ETIMEOUT);
+        return;
+    }
+    BkRelay_Fail(relay, BK_ETIMEOUT, NULL, RETRY_AFTER_MS);
+}
+
+static void
+on_timer(void *arg)
+{
+    BkRelay *relay = arg;
+
+    if (relay->answered) {
+        return;
+    }
+    if (!relay->opened) {
+        miss_deadline(relay);
+    }
+    else if (relay->call == NULL && !relay->ended) {
+        BkRelay_Send(relay);
+    }
+}
+
+/* an upstream may come back, or a copy be loaded, within seconds */
+static void
+search_on(BkRelay *relay, BkStatus status, BkMs retry_after)
+{
+    BkMs now = BkClock_Now();
+
+    if (relay->search_until == 0) {
+        relay->search_until = now + relay->entry->conf.resume_within;
+    }
+    if (now >= relay->search_until) {
+        BkRelay_Fail(relay, BkDecide_Final(status, true), NULL, retry_after);
+        return;
+    }
+    relay->tried.count = 0;
+    BkTimer_Start(relay->timer, SEARCH_PAUSE_MS);
+}
+
+static void
+query_tried(const BkRelay *relay, BkRouteQuery *query)
+{
+    for (int i = 0; i < relay->tried.count; i++) {
+        int up = BkBundle_FindUpstreamKey(relay->entry->daemon->bundle,
+                                          relay->tried.keys[i]);
+        if (up >= 0) {
+            query->tried[query->tried_count++] = up;
+        }
+    }
+}
+
+static bool
+was_tried(const BkRelay *relay, uint32_t key)
+{
+    for (int i = 0; i < relay->tried.count; i++) {
+        if (relay->tried.keys[i] == key) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* the upstream of the ticket first, then others that serve the item */
+static int
+choose_holder(const BkRelay *relay, int item)
+{
+    const BkDaemon *daemon = relay->entry->daemon;
+    int up = BkBundle_FindUpstreamKey(daemon->bundle, relay->up_key);
+
+    if (relay->tried.count >= BK_ROUTE_MAX_TRIED) {
+        return -1;
+    }
+    if (up >= 0 && !was_tried(relay, relay->up_key)) {
+        return up;
+    }
+    for (up = 0; up < daemon->view->count; up++) {
+        if (!was_tried(relay, daemon->bundle->upstreams[up].key) &&
+            BkView_FindReady(daemon->view, up, item) != NULL) {
+            return up;
+        }
+    }
+    return -1;
+}
+
+static void
+send_to_holder(BkRelay *relay, int item)
+{
+    int up = choose_holder(relay, item);
+
+    if (up >= 0) {
+        relay->resuming = true;
+        BkAttempt_Start(relay, up);
+    }
+    else if (relay->all_gone || relay->opened) {
+        BkRelay_Fail(relay, BK_EGONE, NULL, 0);
+    }
+    else {
+        BkRelay_Fail(relay, BK_ETRYAGAIN,
+                     "the upstream that holds the stream does not answer",
+                     RETRY_AFTER_MS);
+    }
+}
+
+/* after a pause of this process the claim may be somebody else's */
+static bool
+claim_is_old(const BkRelay *relay)
+{
+    return relay->claimed && BkClock_Now() - relay->claimed_at >
+                                 relay->entry->conf.claim_retention / 2;
+}
+
+void
+BkRelay_Send(BkRelay *relay)
+{
+    BkEntry *entry = relay->entry;
+    BkDaemon *daemon = entry->daemon;
+    BkMs now = BkClock_Now();
+    int item = BkBundle_FindItem(daemon->bundle, BkStr_FromC(relay->item));
+
+    if (item < 0) {
+        BkRelay_Fail(relay, BK_ENOMODEL, "it is no longer in force", 0);
+        return;
+    }
+    if (relay->from_ticket) {
+        send_to_holder(relay, item);
+        return;
+    }
+    if (claim_is_old(relay)) {
+        BkRelay_Fail(relay, BK_EOVERLOAD, NULL, RETRY_AFTER_MS);
+        return;
+    }
+    BkRouteQuery query = {
+        .item = item,
+        .prefix_hash = relay->prefix_hash,
+        .deadline = relay->opened ? now + SEARCH_SPAN_MS : relay->deadline,
+    };
+    query_tried(relay, &query);
+    BkRouteChoice choice =
+        BkRoute_Choose(&entry->route, daemon->view, &query, now);
+    if (choice.status == BK_OK) {
+        relay->resuming = false;
+        BkAttempt_Start(relay, choice.upstream);
+    }
+    else if (relay->opened) {
+        search_on(relay, choice.status, choice.retry_after);
+    }
+    else {
+        BkRelay_Fail(relay, choice.status, NULL, choice.retry_after);
+    }
+}
