--- a/include/bk/entry/decide.h
+++ b/include/bk/entry/decide.h
@@ -19,14 +19,14 @@
     bool not_run;    /* X-Not-Run: yes */
     bool repeatable;
     bool stream;
-    bool whole_stream;   /* [DONE] came */
-    bool opened;         /* the caller holds events of this stream */
-    bool resumed;        /* the attempt was itself a resume */
-    bool progress;       /* it brought at least one new event */
-    bool bad_stream;     /* the upstream itself reported an error */
-    bool can_copy;       /* another copy can be given all delivered text */
-    bool ran_before;     /* an earlier attempt may have run */
-    int tries_left;      /* more attempts allowed */
+    bool whole_stream; /* [DONE] came */
+    bool opened;       /* the caller holds events of this stream */
+    bool resumed;      /* the attempt was itself a resume */
+    bool progress;     /* it brought at least one new event */
+    bool bad_stream;   /* the upstream itself reported an error */
+    bool can_copy;     /* another copy can be given all delivered text */
+    bool ran_before;   /* an earlier attempt may have run */
+    int tries_left;    /* more attempts allowed */
 } BkAttemptEnd;
 
 typedef enum BkNextStep {
--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -10,6 +10,7 @@
 #ifndef BK_ENTRY_ENTRY_H
 #define BK_ENTRY_ENTRY_H
 
+#include "bk/base/counters.h"
 #include "bk/claim/claim.h"
 #include "bk/daemon/daemon.h"
 #include "bk/entry/ticket.h"
--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -68,35 +68,35 @@
     uint32_t attempt;
     int tries; /* without progress */
     BkTried tried;
-    bool ran_before;      /* an earlier attempt may have run */
-    bool from_ticket;     /* only holders of the stream can serve it */
-    bool all_gone;        /* every holder asked so far said 404 */
-    uint32_t up_key;      /* of the present or last attempt */
+    bool ran_before;  /* an earlier attempt may have run */
+    bool from_ticket; /* only holders of the stream can serve it */
+    bool all_gone;    /* every holder asked so far said 404 */
+    uint32_t up_key;  /* of the present or last attempt */
     uint32_t up_boot;
     char up_addr[64];
-    bool on_upstream;     /* counted by BkRoute_Sent */
+    bool on_upstream; /* counted by BkRoute_Sent */
     BkMs sent_at;
     BkHttpCall *call;
     int code;
     bool not_run;
-    bool resuming;        /* the attempt is GET /v1/streams/... */
-    BkMs retry_after;     /* as the upstream said */
+    bool resuming;    /* the attempt is GET /v1/streams/... */
+    BkMs retry_after; /* as the upstream said */
     char *answer_type;
-    BkBuf answer;         /* whole answer, or events not yet forwarded */
+    BkBuf answer; /* whole answer, or events not yet forwarded */
     bool answer_too_large;
 
-    bool opened;          /* the caller's stream has begun */
-    bool blocked;         /* the caller's buffer is full */
-    bool ended;           /* the exchange is over, events still wait */
-    bool whole_stream;    /* [DONE] was forwarded */
+    bool opened;       /* the caller's stream has begun */
+    bool blocked;      /* the caller's buffer is full */
+    bool ended;        /* the exchange is over, events still wait */
+    bool whole_stream; /* [DONE] was forwarded */
     bool bad_stream;
     bool progress;
     BkHttpResult result;
-    uint64_t delivered;   /* id of the last event forwarded */
+    uint64_t delivered; /* id of the last event forwarded */
     BkMs last_event_at;
-    BkBuf text;           /* delivered so far, for another copy */
+    BkBuf text; /* delivered so far, for another copy */
     bool text_lost;
-    BkMs search_until;    /* mid-stream, for a copy to go on with */
+    BkMs search_until; /* mid-stream, for a copy to go on with */
 };
 
 /* Takes the request over; answers it in the end. */
--- a/src/claim/book.c
+++ b/src/claim/book.c
@@ -206,9 +206,8 @@
 static void
 take_claim_conflict(BkClaimWish *wish, const BkClaimRow *row)
 {
-    BkClaimVerdict verdict =
-        BkClaim_Judge(row, wish->row.nonce, wish->row.request,
-                      wish->book->retention);
+    BkClaimVerdict verdict = BkClaim_Judge(
+        row, wish->row.nonce, wish->row.request, wish->book->retention);
 
     if (wish->given_up) {
         if (verdict == BK_CLAIM_MINE) {
@@ -239,8 +238,7 @@
         push_front(wish->book, wish);
         return;
     }
-    if (wish->kind == ENTRY_RECORD &&
-        !(own && row->state == BK_CLAIM_DONE)) {
+    if (wish->kind == ENTRY_RECORD && !(own && row->state == BK_CLAIM_DONE)) {
         BK_LOG(BK_LOG_ERR, "claim", NULL,
                "the row of an outcome was taken over; it is not recorded");
     }
@@ -349,7 +347,9 @@
     bool certain =
         reply->status == BK_ECONFLICT || reply->status == BK_EPLATFORM;
 
-    memcpy(batch, book->batch, sizeof(batch[0]) * (size_t)count);
+    for (int i = 0; i < count; i++) {
+        batch[i] = book->batch[i];
+    }
     book->batch_count = 0;
     book->in_flight = false;
     if (was_answered(reply, batch, count)) {
--- a/src/claim/claim.c
+++ b/src/claim/claim.c
@@ -156,8 +156,8 @@
     const char *coded = json_string_value(json_object_get(object, "body64"));
 
     if (json_is_string(text)) {
-        return BkBuf_Append(out, (BkStr){json_string_value(text),
-                                         json_string_length(text)});
+        return BkBuf_Append(
+            out, (BkStr){json_string_value(text), json_string_length(text)});
     }
     if (coded == NULL) {
         return BkErr_Set(BK_EDECODE, "a claim's outcome has no body");
@@ -201,11 +201,11 @@
         return BkErr_Set(BK_EDECODE, "a claim has an unknown state");
     }
     row->state = (BkClaimState)state;
-    BkStatus status = get_text(object, "nonce", row->nonce,
-                               sizeof(row->nonce));
+    BkStatus status =
+        get_text(object, "nonce", row->nonce, sizeof(row->nonce));
     if (status == BK_OK) {
-        status = get_text(object, "request", row->request,
-                          sizeof(row->request));
+        status =
+            get_text(object, "request", row->request, sizeof(row->request));
     }
     if (status == BK_OK && row->state == BK_CLAIM_DONE) {
         status = get_outcome(row, object);
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -116,8 +116,8 @@
     relay->code = result->code;
     leave_upstream(relay);
     BK_LOG(BK_LOG_DEBUG, "attempt", relay->request, "%u at %s: %s, %d",
-           relay->attempt, relay->up_addr,
-           BkStatus_Info(result->status)->name, result->code);
+           relay->attempt, relay->up_addr, BkStatus_Info(result->status)->name,
+           result->code);
     if (relay->blocked) {
         relay->ended = true;
         return;
@@ -255,8 +255,8 @@
         return;
     }
     if (relay->delivered > 0) {
-        BkCompletion_Continue(body, relay->delivered,
-                              BkBuf_Str(&relay->text), &longer);
+        BkCompletion_Continue(body, relay->delivered, BkBuf_Str(&relay->text),
+                              &longer);
         body = BkBuf_Str(&longer);
     }
     start_call(relay, up, relay->method, relay->target, body);
@@ -266,8 +266,8 @@
 void
 BkRelay_Resume(BkRelay *relay)
 {
-    int up = BkBundle_FindUpstreamKey(relay->entry->daemon->bundle,
-                                      relay->up_key);
+    int up =
+        BkBundle_FindUpstreamKey(relay->entry->daemon->bundle, relay->up_key);
 
     if (up < 0) {
         BkRelay_Send(relay);
--- a/src/entry/cancel.c
+++ b/src/entry/cancel.c
@@ -148,7 +148,6 @@
             at->handed_over = true;
         }
     }
-    BkHttpReq_Reply(req, 200, NULL, BK_STR("application/json"),
-                    BK_STR("{}"));
+    BkHttpReq_Reply(req, 200, NULL, BK_STR("application/json"), BK_STR("{}"));
     return true;
 }
--- a/src/entry/codec.c
+++ b/src/entry/codec.c
@@ -34,8 +34,8 @@
     size_t room = PREFIX_BYTES - prefix->len;
 
     if (json_is_string(text)) {
-        BkBuf_Append(prefix, (BkStr){json_string_value(text),
-                                     len < room ? len : room});
+        BkBuf_Append(
+            prefix, (BkStr){json_string_value(text), len < room ? len : room});
     }
 }
 
@@ -94,8 +94,8 @@
     }
     BkStatus status = check_completion(object);
     if (status == BK_OK) {
-        out->model = BkStr_Dup(BkStr_FromC(
-            json_string_value(json_object_get(object, "model"))));
+        out->model = BkStr_Dup(
+            BkStr_FromC(json_string_value(json_object_get(object, "model"))));
         out->stream = json_is_true(json_object_get(object, "stream"));
         out->prefix_hash = hash_prefix(object);
     }
@@ -199,16 +199,16 @@
 BkStatus
 BkEvent_Text(BkStr data, BkBuf *out)
 {
-    json_t *object = json_loadb(data.len == 0 ? "" : data.ptr, data.len, 0,
-                                NULL);
+    json_t *object =
+        json_loadb(data.len == 0 ? "" : data.ptr, data.len, 0, NULL);
     const json_t *choice =
         json_array_get(json_object_get(object, "choices"), 0);
     const json_t *text = json_object_get(choice, "text");
     BkStatus status = BK_EDECODE;
 
     if (json_is_string(text)) {
-        status = BkBuf_Append(out, (BkStr){json_string_value(text),
-                                           json_string_length(text)});
+        status = BkBuf_Append(
+            out, (BkStr){json_string_value(text), json_string_length(text)});
     }
     json_decref(object);
     return status;
--- a/src/entry/decide.c
+++ b/src/entry/decide.c
@@ -21,8 +21,7 @@
 bool
 BkDecide_NotRun(const BkAttemptEnd *end)
 {
-    return end->status == BK_ECONNECT || !end->sent ||
-           refused_before_run(end);
+    return end->status == BK_ECONNECT || !end->sent || refused_before_run(end);
 }
 
 BkStatus
--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -88,8 +88,7 @@
 
     demand->daemon = daemon;
     demand->timer = BkTimer_Create(daemon->loop, send_demand, demand);
-    BkTimer_Start(demand->timer,
-                  BkRng_Below(&daemon->rng, DEMAND_PERIOD_MS));
+    BkTimer_Start(demand->timer, BkRng_Below(&daemon->rng, DEMAND_PERIOD_MS));
     return demand;
 }
 
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -100,8 +100,7 @@
         .arg = entry,
     };
 
-    if (BkTicket_DeriveKey(conf->daemon.secret, entry->ticket_key) !=
-        BK_OK) {
+    if (BkTicket_DeriveKey(conf->daemon.secret, entry->ticket_key) != BK_OK) {
         return BK_ECONFIG;
     }
     entry->counters = BkEntryCounters_Get();
--- a/src/entry/handlers.c
+++ b/src/entry/handlers.c
@@ -255,11 +255,11 @@
     for (int i = 0; i < bundle->item_count; i++) {
         const BkItem *item = &bundle->items[i];
         if (BkBundle_Allows(bundle, context->caller, i)) {
-            json_array_append_new(
-                list, json_pack("{ss ss ss sb}", "id", item->name, "kind",
-                                kind_name(item->kind), "version",
-                                item->version, "repeatable",
-                                item->repeatable));
+            json_array_append_new(list,
+                                  json_pack("{ss ss ss sb}", "id", item->name,
+                                            "kind", kind_name(item->kind),
+                                            "version", item->version,
+                                            "repeatable", item->repeatable));
         }
     }
     json_t *root = json_pack("{ss so}", "object", "list", "data", list);
@@ -398,8 +398,7 @@
     if (entry->quiesced || context.bundle == NULL) {
         status = entry->quiesced ? BK_ESTOPPING : BK_ENOTREADY;
         BkEntryCounters_NoteOutcome(status);
-        BkEntry_ReplyError(req, context.request, status, NULL,
-                           RETRY_AFTER_MS);
+        BkEntry_ReplyError(req, context.request, status, NULL, RETRY_AFTER_MS);
         return;
     }
     status = authenticate(&context);
--- a/src/entry/metrics.c
+++ b/src/entry/metrics.c
@@ -55,10 +55,10 @@
                                  "streams gone on with after a cut"),
         .streams = BkCounter_Get("bk_entry_streams_open", NULL,
                                  "streams open to callers"),
-        .in_flight = BkCounter_Get("bk_entry_in_flight", NULL,
-                                   "requests in progress"),
-        .claims = BkCounter_Get("bk_entry_claims_total", NULL,
-                                "claims asked for"),
+        .in_flight =
+            BkCounter_Get("bk_entry_in_flight", NULL, "requests in progress"),
+        .claims =
+            BkCounter_Get("bk_entry_claims_total", NULL, "claims asked for"),
         .replays = BkCounter_Get("bk_entry_replays_total", NULL,
                                  "recorded outcomes given again"),
         .cancels = BkCounter_Get("bk_entry_cancels_total", NULL,
@@ -73,7 +73,7 @@
 
     snprintf(labels, sizeof(labels), "result=\"%s\"",
              BkStatus_Info(status)->name);
-    BkCounter_Add(BkCounter_Get("bk_entry_requests_total", labels,
-                                "requests by result"),
-                  1);
+    BkCounter_Add(
+        BkCounter_Get("bk_entry_requests_total", labels, "requests by result"),
+        1);
 }
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -124,8 +124,8 @@
 
     for (int i = 0; i < bundle->caller_count; i++) {
         if (strcmp(bundle->callers[i].name, relay->caller) == 0) {
-            BkStatus status = BkFair_Enter(entry->fair, i, BkClock_Now(),
-                                           retry_after);
+            BkStatus status =
+                BkFair_Enter(entry->fair, i, BkClock_Now(), retry_after);
             relay->entered = status == BK_OK;
             return status;
         }
@@ -165,8 +165,7 @@
 {
     if (relay->claimed &&
         BkStatus_Info(status)->outcome == BK_OUTCOME_NOT_RUN) {
-        BkClaimBook_Release(relay->entry->book, relay->row_key,
-                            &relay->claim);
+        BkClaimBook_Release(relay->entry->book, relay->row_key, &relay->claim);
     }
     relay->claimed = false;
 }
@@ -217,8 +216,7 @@
 void
 BkRelay_Deliver(BkRelay *relay, BkStatus status)
 {
-    const char *type =
-        relay->answer_type == NULL ? "" : relay->answer_type;
+    const char *type = relay->answer_type == NULL ? "" : relay->answer_type;
     char request[96];
     const char *const headers[] = {request, NULL};
 
@@ -234,8 +232,8 @@
     if (!relay->answered && relay->req != NULL) {
         BkLatency_Note(&relay->entry->counters.first_byte,
                        BkClock_Now() - relay->started);
-        BkHttpReq_Reply(relay->req, relay->code, headers,
-                        BkStr_FromC(type), BkBuf_Str(&relay->answer));
+        BkHttpReq_Reply(relay->req, relay->code, headers, BkStr_FromC(type),
+                        BkBuf_Str(&relay->answer));
     }
     BkBuf_Destroy(&relay->answer);
     BkRelay_Finish(relay, status);
@@ -246,8 +244,7 @@
 replay_outcome(BkRelay *relay, const BkClaimRow *row)
 {
     char request[96];
-    const char *const headers[] = {request, "Idempotent-Replayed: true",
-                                   NULL};
+    const char *const headers[] = {request, "Idempotent-Replayed: true", NULL};
 
     BkCounter_Add(relay->entry->counters.replays, 1);
     if (row->too_large) {
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -4,8 +4,10 @@
 #include "bk/entry/entry.h"
 
 #define KEY(name, type, field, fallback, least, most, help)                   \
-    {"entry", (name), (type), offsetof(BkEntryConf, field), (fallback),       \
-     (least), (most), (help)}
+    {                                                                         \
+        "entry", (name), (type), offsetof(BkEntryConf, field), (fallback),    \
+            (least), (most), (help)                                           \
+    }
 
 static const BkSettingSpec entry_specs[] = {
     KEY("listen", BK_SET_ADDR, listen, NULL, 0, 0, "address for callers"),
@@ -60,8 +62,7 @@
 {
     int shared = 0;
     const BkSettingSpec *daemon = BkDaemon_Specs(&shared);
-    BkSettingSpec *all =
-        BkMem_New((size_t)(shared + ENTRY_SPECS), sizeof(*all));
+    BkSettingSpec *all = BkMem_New((size_t)shared + ENTRY_SPECS, sizeof(*all));
 
     memcpy(all, daemon, (size_t)shared * sizeof(*all));
     memcpy(all + shared, entry_specs, sizeof(entry_specs));
--- a/src/entry/stream.c
+++ b/src/entry/stream.c
@@ -35,8 +35,7 @@
     snprintf(ticket.request, sizeof(ticket.request), "%s", relay->request);
     snprintf(ticket.caller, sizeof(ticket.caller), "%s", relay->caller);
     snprintf(ticket.item, sizeof(ticket.item), "%s", relay->item);
-    snprintf(ticket.entry, sizeof(ticket.entry), "%s",
-             entry->conf.daemon.ops);
+    snprintf(ticket.entry, sizeof(ticket.entry), "%s", entry->conf.daemon.ops);
     BkBuf_Printf(field, "X-Resume-Ticket: ");
     BkTicket_Seal(&ticket, entry->ticket_key, field);
 }
--- a/src/entry/ticket.c
+++ b/src/entry/ticket.c
@@ -22,7 +22,8 @@
         sodium_hex2bin(root, sizeof(root), secret, strlen(secret), NULL, &len,
                        NULL) != 0 ||
         len != sizeof(root)) {
-        return BkErr_Set(BK_ECONFIG, "[daemon] secret: expected 64 hex digits");
+        return BkErr_Set(BK_ECONFIG,
+                         "[daemon] secret: expected 64 hex digits");
     }
     crypto_generichash(key, BK_TICKET_KEY_BYTES,
                        (const unsigned char *)purpose, sizeof(purpose), root,
@@ -45,8 +46,8 @@
     randombytes_buf(sealed, crypto_secretbox_NONCEBYTES);
     crypto_secretbox_easy(box, (const unsigned char *)plain.ptr, plain.len,
                           sealed, key);
-    size_t len = crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES +
-                 plain.len;
+    size_t len =
+        crypto_secretbox_NONCEBYTES + crypto_secretbox_MACBYTES + plain.len;
     sodium_bin2base64(text, sizeof(text), sealed, len,
                       sodium_base64_VARIANT_URLSAFE_NO_PADDING);
     BkBuf_Append(out, BkStr_FromC(text));
