entry: name the real cause when no copy is left; try the only copy again after a cut

Cause: after a cut of the only copy the caller was told that no copy could be reached. A cut says nothing about the upstream, so it may be tried again within attempts and retry budget; a refusal or a failed connection may not.

--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -2,8 +2,8 @@
  * entry - state of the program bk-entry
  *
  * One job a file: settings.c the settings, entry.c start and planned stop,
- * handlers.c what is served at which path, relay.c a request's life,
- * attempt.c one exchange with an upstream, stream.c events to the caller,
+ * handlers.c what is served at which path, relay.c a request's life, send.c
+ * the choice of an upstream, attempt.c one exchange with an upstream, stream.c events to the caller,
  * decide.c what follows an attempt, cancel.c upstream work nobody wants any
  * more, demand.c requests per item, metrics.c counters.
  */
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -370,6 +370,9 @@
 
     relay->ended = false;
     relay->ran_before = relay->ran_before || !not_run;
+    relay->last_failure = decision.status;
+    relay->try_same = relay->repeatable && !not_run && !relay->bad_stream &&
+                      relay->result.status != BK_OK;
     if (relay->answered) {
         settle_unwatched(relay, decision.step, not_run);
         return;
