--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -28,16 +28,24 @@
     BkRoutePolicy policy;
     BkMs stale_after;      /* an observation older than this is not used */
     BkMs service_time;     /* estimate of one request on a free slot */
+    BkMs first_byte;       /* from a free slot to the first byte of answer */
     double affinity_slack; /* how much fuller than the mean a copy may be
                               and still be chosen for its prefix */
+    bool admit_all;        /* baseline: no refusal for lateness */
 } BkRouteConf;
 
+typedef struct BkRouteIndex BkRouteIndex;
+
 typedef struct BkRoute {
     BkRouteConf conf;
     BkRng rng;
-    uint32_t turn; /* of round robin */
+    uint32_t turn;       /* of round robin */
+    BkRouteIndex *index; /* item to copies; follows the view's generation */
 } BkRoute;
 
+/* Frees the index; the route may be used again. */
+void BkRoute_Destroy(BkRoute *route);
+
 typedef struct BkRouteQuery {
     int item;             /* index in the bundle */
     uint64_t prefix_hash; /* of the prompt's head; 0: none */
