--- a/tests/fakes/engine.h
+++ b/tests/fakes/engine.h
@@ -36,7 +36,7 @@
 typedef struct Instance {
     char name[ENGINE_NAME];
     char model[ENGINE_NAME];
-    json_int_t version;
+    char version[ENGINE_NAME];
     json_int_t bytes;
     InstanceState state;
     BkMs loaded_at; /* without a weight store */
--- a/tests/fakes/engine_instances.c
+++ b/tests/fakes/engine_instances.c
@@ -99,8 +99,8 @@
     long code = 0;
     CURL *easy = curl_easy_init();
 
-    snprintf(url, sizeof(url), "http://%s/v1/weights/%s/%lld?bytes=%lld",
-             engine.weights, copy->model, (long long)copy->version,
+    snprintf(url, sizeof(url), "http://%s/v1/weights/%s/%s?bytes=%lld",
+             engine.weights, copy->model, copy->version,
              (long long)copy->bytes);
     curl_easy_setopt(easy, CURLOPT_URL, url);
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
@@ -177,16 +177,18 @@
 {
     const char *name = NULL;
     const char *model = NULL;
+    const char *version = NULL;
     Instance loading = {.loaded_at = BkClock_Now() + engine.load_ms};
 
-    if (json_unpack(req->json, "{s:s, s:s, s:I, s:I}", "instance", &name,
-                    "model", &model, "version", &loading.version, "bytes",
+    if (json_unpack(req->json, "{s:s, s:s, s:s, s:I}", "instance", &name,
+                    "model", &model, "version", &version, "bytes",
                     &loading.bytes) != 0) {
         answer_order(req, reply, "load", 400, "malformed");
         return;
     }
     snprintf(loading.name, sizeof(loading.name), "%s", name);
     snprintf(loading.model, sizeof(loading.model), "%s", model);
+    snprintf(loading.version, sizeof(loading.version), "%s", version);
     if (fence_is_stale(req)) {
         answer_order(req, reply, "load", 409, "stale_fence");
     }
@@ -246,7 +248,7 @@
         const Instance *instance = &instances[i];
         json_array_append_new(
             list,
-            json_pack("{s:s, s:s, s:I, s:I, s:s}", "instance", instance->name,
+            json_pack("{s:s, s:s, s:s, s:I, s:s}", "instance", instance->name,
                       "model", instance->model, "version", instance->version,
                       "bytes", instance->bytes, "state",
                       states[instance->state]));
