--- a/include/bk/ledger/ledger.h
+++ b/include/bk/ledger/ledger.h
@@ -60,6 +60,7 @@
     bool unsettled; /* send_count is above 0 */
     BkSend sends[BK_LEDGER_MAX_SENDS];
     int send_count;
+    BkMs ordered_at; /* of the last order by this process; not in the row */
 } BkEntry;
 
 typedef struct BkLedger {
--- /dev/null
+++ b/src/steward/conf.c
@@ -0,0 +1,78 @@
+#include "bk/steward/steward.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SPEC(section, key, type, field, fallback, min, max, help)             \
+    {                                                                         \
+        section, key, type, offsetof(BkStewardConf, field), fallback, min,    \
+            max, help                                                         \
+    }
+
+static const BkSettingSpec own_specs[] = {
+    SPEC("place", "attainment_weight", BK_SET_REAL, place.attainment_weight,
+         "1", 0, 1000000, "worth of an answer on time"),
+    SPEC("place", "move_weight", BK_SET_REAL, place.move_weight, "1", 0,
+         100000000, "price of a load or unload"),
+    SPEC("place", "horizon", BK_SET_MS, place.horizon, "5min", 1000, 86400000,
+         "over which a gain is counted"),
+    SPEC("place", "rise", BK_SET_REAL, place.rise, "0.2", 1, 1000,
+         "smoothing of rising demand, per second"),
+    SPEC("place", "fall", BK_SET_REAL, place.fall, "0.01", 1, 1000,
+         "smoothing of falling demand, per second"),
+    SPEC("place", "target_use", BK_SET_REAL, place.target_use, "0.7", 100,
+         1000, "share of a copy's capacity to plan for"),
+    SPEC("place", "loads_per_second", BK_SET_INT, loads_per_second, "2", 1,
+         1000, "that the weight store allows"),
+    SPEC("place", "loads_at_once", BK_SET_INT, loads_at_once, "7", 1, 1000,
+         "that the weight store serves at full speed"),
+    SPEC("steward", "lease_span", BK_SET_MS, lease_span, "6s", 500, 300000,
+         "without a renewal, after which the planner is replaced"),
+    SPEC("steward", "lease_renew", BK_SET_MS, lease_renew, "1500ms", 50, 60000,
+         "between renewals"),
+    SPEC("steward", "decide", BK_SET_MS, decide, "1s", 50, 60000,
+         "between decisions"),
+    SPEC("steward", "ask", BK_SET_MS, ask, "30s", 100, 600000,
+         "between asks of an engine at rest"),
+    SPEC("steward", "order_timeout", BK_SET_MS, order_timeout, "10s", 100,
+         120000, "of one order to an engine"),
+    SPEC("steward", "resend_after", BK_SET_MS, resend_after, "3s", 100, 120000,
+         "until an order without effect is repeated"),
+    SPEC("steward", "flight_after", BK_SET_MS, flight_after, "20s", 100,
+         600000, "within which bytes of a closed connection land"),
+    SPEC("steward", "vm_lag", BK_SET_MS, vm_lag, "60s", 100, 3600000,
+         "longest lag of the list of VMs"),
+};
+
+enum {
+    OWN_SPECS = sizeof(own_specs) / sizeof(own_specs[0]),
+    RENEWALS_PER_SPAN = 3
+};
+
+const BkSettingSpec *
+BkSteward_Specs(int *count)
+{
+    int common;
+    const BkSettingSpec *specs = BkDaemon_Specs(&common);
+    BkSettingSpec *all =
+        BkMem_New((size_t)common + OWN_SPECS, sizeof(BkSettingSpec));
+
+    memcpy(all, specs, (size_t)common * sizeof(BkSettingSpec));
+    memcpy(all + common, own_specs, sizeof(own_specs));
+    *count = common + OWN_SPECS;
+    return all;
+}
+
+BkStatus
+BkSteward_CheckConf(BkStewardConf *conf)
+{
+    conf->place.policy = BK_PLACE_WEIGHED;
+    conf->place.loads_per_second = (int)conf->loads_per_second;
+    conf->place.loads_at_once = (int)conf->loads_at_once;
+    if (conf->lease_renew * RENEWALS_PER_SPAN > conf->lease_span) {
+        return BkErr_Set(BK_ECONFIG,
+                         "[steward] lease_renew: at most a third of "
+                         "lease_span");
+    }
+    return BK_OK;
+}
--- /dev/null
+++ b/src/steward/order.c
@@ -0,0 +1,304 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/counters.h"
+#include "bk/base/log.h"
+#include "bk/steward/steward.h"
+
+enum {
+    MAX_ANSWER = 16 * 1024,
+    URL_BYTES = 128,
+    LABEL_BYTES = 64,
+    RETRY_MS = 500,
+    STALE_FENCE = 409,
+    NO_MEMORY = 507
+};
+
+static void
+count_order(const char *kind, const BkHttpResult *result)
+{
+    char labels[LABEL_BYTES];
+    const char *outcome = result->status == BK_OK         ? "answered"
+                          : result->status == BK_ECONNECT ? "not sent"
+                                                          : "no answer";
+
+    if (result->status == BK_OK && result->code >= 300) {
+        outcome = "refused";
+    }
+    snprintf(labels, sizeof(labels), "kind=\"%s\",result=\"%s\"", kind,
+             outcome);
+    BkCounter_Add(BkCounter_Get("bk_steward_orders_total", labels,
+                                "orders to engines"),
+                  1);
+}
+
+/* nothing of the order is in flight any more */
+static bool
+is_answered(const BkHttpResult *result)
+{
+    return result->status == BK_OK || result->status == BK_ECONNECT;
+}
+
+static void
+settle_load(BkEngine *engine)
+{
+    int index = BkLedger_Find(engine->ledger, BkStr_FromC(engine->ordered));
+
+    if (index < 0) {
+        return;
+    }
+    const BkEntry *entry = &engine->ledger->entries[index];
+    int last = entry->send_count - 1;
+    if (last >= 0 && entry->sends[last].fence == engine->order_fence) {
+        BkLedger_LoadAnswered(engine->ledger, index);
+        engine->dirty = true;
+    }
+}
+
+static void
+log_answer(const BkEngine *engine, const char *kind,
+           const BkHttpResult *result)
+{
+    bool good = result->status == BK_OK && result->code < 300;
+
+    BK_LOG(good ? BK_LOG_INFO : BK_LOG_WARNING, "planner", NULL,
+           "%s %s on %s: %s, HTTP status %d", kind,
+           engine->ordered == NULL ? "" : engine->ordered, engine->name,
+           BkStatus_Info(result->status)->name, result->code);
+}
+
+static void
+take_answer(const BkHttpResult *result, BkStr body, void *arg)
+{
+    BkEngine *engine = arg;
+    BkSteward *steward = engine->steward;
+    BkMs now = BkClock_Now();
+    bool answered = is_answered(result);
+    bool is_fence = engine->ordered == NULL;
+    const char *kind = is_fence          ? "fence"
+                       : engine->is_load ? "load"
+                                         : "unload";
+
+    (void)body;
+    engine->step = BK_ENGINE_IDLE;
+    count_order(kind, result);
+    log_answer(engine, kind, result);
+    if (engine->is_load && answered) {
+        BkSends_Answered(steward, engine->order_fence);
+    }
+    else if (engine->is_load) {
+        BkSends_Closed(steward, engine->order_fence, now);
+    }
+    if (engine->round == steward->round) {
+        if (engine->is_load && answered) {
+            settle_load(engine);
+        }
+        if (is_fence && result->status == BK_OK && result->code == 200) {
+            engine->fence = engine->order_fence;
+        }
+        if (result->code == STALE_FENCE) {
+            /* somebody gave orders with a higher term: look at once */
+            steward->lease.next_at = now;
+        }
+        engine->ask_now = true;
+        engine->wait_until = answered ? 0 : now + RETRY_MS;
+    }
+    free(engine->ordered);
+    engine->ordered = NULL;
+}
+
+static void
+send_order(BkEngine *engine, const char *path, json_t *body)
+{
+    BkSteward *steward = engine->steward;
+    char url[URL_BYTES];
+    const char *headers[] = {"Content-Type: application/json", NULL};
+    char *text = json_dumps(body, JSON_COMPACT);
+    BkHttpSpec spec = {.method = "POST",
+                       .url = url,
+                       .headers = headers,
+                       .body = BkStr_FromC(text),
+                       .timeout = steward->conf->order_timeout,
+                       .once = true};
+
+    snprintf(url, sizeof(url), "http://%s/admin/%s",
+             BkEngine_Upstream(engine)->addr, path);
+    BkHttpClient_Fetch(steward->daemon->http, &spec, MAX_ANSWER, take_answer,
+                       engine);
+    free(text);
+    json_decref(body);
+}
+
+static void
+note_order(BkEngine *engine, BkEntry *entry, uint64_t fence, BkMs now)
+{
+    entry->ordered_at = now;
+    engine->ordered = BkStr_Dup(BkStr_FromC(entry->inst));
+    engine->order_fence = fence;
+}
+
+static const char *
+base_name(const BkBundle *bundle, const char *item)
+{
+    int index = BkBundle_FindItem(bundle, BkStr_FromC(item));
+
+    if (index < 0 || bundle->items[index].base < 0) {
+        return NULL;
+    }
+    return bundle->items[bundle->items[index].base].name;
+}
+
+static void
+send_load(BkEngine *engine, BkEntry *entry, BkMs now)
+{
+    BkSteward *steward = engine->steward;
+    uint64_t fence = engine->load_fence;
+
+    note_order(engine, entry, fence, now);
+    engine->is_load = true;
+    free(engine->load);
+    engine->load = NULL;
+    BkSends_Add(steward, fence, engine->name);
+    send_order(engine, "load",
+               json_pack("{s:s, s:s, s:s, s:s*, s:I, s:I}", "instance",
+                         entry->inst, "model", entry->item, "version",
+                         entry->version, "base",
+                         base_name(steward->daemon->bundle, entry->item),
+                         "bytes", (json_int_t)entry->bytes, "fence",
+                         (json_int_t)fence));
+}
+
+static void
+send_unload(BkEngine *engine, BkEntry *entry, BkMs now)
+{
+    uint64_t fence = BkSteward_NextFence(engine->steward);
+
+    note_order(engine, entry, fence, now);
+    engine->is_load = false;
+    send_order(engine, "unload",
+               json_pack("{s:s, s:I}", "instance", entry->inst, "fence",
+                         (json_int_t)fence));
+}
+
+/* so that orders of others, or lost ones, are refused if they land late */
+static void
+send_fence(BkEngine *engine, BkMs now)
+{
+    engine->next_fence = now + engine->steward->conf->resend_after;
+    engine->order_fence = BkSteward_NextFence(engine->steward);
+    engine->is_load = false;
+    send_order(
+        engine, "fence",
+        json_pack("{s:I}", "fence", (json_int_t)engine->order_fence));
+}
+
+/* at the start of a term, after a restart of the engine, and whenever an
+   order in doubt could be refused from now on */
+static bool
+needs_fence(const BkEngine *engine, BkMs now)
+{
+    const BkLedger *ledger = engine->ledger;
+
+    if (!BkEngine_Upstream(engine)->fencing || now < engine->next_fence) {
+        return false;
+    }
+    if (BkFence_Term(engine->fence) < engine->steward->lease.term) {
+        return true;
+    }
+    for (int i = 0; i < ledger->count; i++) {
+        const BkEntry *entry = &ledger->entries[i];
+        for (int k = 0; k < entry->send_count; k++) {
+            if (entry->sends[k].fence >= engine->fence) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static BkEntry *
+find_unload(BkEngine *engine, BkMs now)
+{
+    BkMs again = engine->steward->conf->resend_after;
+
+    for (int i = 0; i < engine->ledger->count; i++) {
+        BkEntry *entry = &engine->ledger->entries[i];
+        bool due = entry->ordered_at == 0 || now - entry->ordered_at >= again;
+        if (entry->state == BK_ENTRY_UNLOAD_ORDERED && due) {
+            return entry;
+        }
+    }
+    return NULL;
+}
+
+bool
+BkOrder_Start(BkEngine *engine, BkMs now)
+{
+    BkEntry *entry = find_unload(engine, now);
+
+    if (engine->load == NULL && needs_fence(engine, now)) {
+        send_fence(engine, now);
+        return true;
+    }
+    if (engine->load != NULL) {
+        int index = BkLedger_Find(engine->ledger, BkStr_FromC(engine->load));
+        if (index >= 0) {
+            send_load(engine, &engine->ledger->entries[index], now);
+            return true;
+        }
+        free(engine->load);
+        engine->load = NULL;
+    }
+    if (entry != NULL) {
+        send_unload(engine, entry, now);
+        return true;
+    }
+    return false;
+}
+
+static bool
+is_shown(const BkUpView *seen, const char *inst)
+{
+    for (int i = 0; i < seen->inst_count; i++) {
+        if (strcmp(seen->insts[i].name, inst) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+is_wanted(const BkBundle *bundle, const BkEntry *entry)
+{
+    int item = BkBundle_FindItem(bundle, BkStr_FromC(entry->item));
+
+    return item >= 0 &&
+           strcmp(bundle->items[item].version, entry->version) == 0;
+}
+
+void
+BkOrder_Resend(BkEngine *engine, BkMs now)
+{
+    BkSteward *steward = engine->steward;
+    const BkDaemon *daemon = steward->daemon;
+    const BkUpView *seen = &daemon->view->ups[engine->up];
+
+    for (int i = 0; i < engine->ledger->count && engine->load == NULL; i++) {
+        BkEntry *entry = &engine->ledger->entries[i];
+        bool due = entry->ordered_at == 0 ||
+                   now - entry->ordered_at >= steward->conf->resend_after;
+        if (entry->state != BK_ENTRY_LOAD_ORDERED || !due ||
+            is_shown(seen, entry->inst) ||
+            !is_wanted(daemon->bundle, entry)) {
+            continue;
+        }
+        uint64_t fence = BkSteward_NextFence(steward);
+        if (BkLedger_Resend(engine->ledger, i, steward->conf->daemon.name,
+                            daemon->epoch, fence) == BK_OK) {
+            engine->load = BkStr_Dup(BkStr_FromC(entry->inst));
+            engine->load_fence = fence;
+            engine->dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/steward/progress.c
@@ -0,0 +1,212 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+#include "bk/steward/steward.h"
+
+/* the row planner/progress: how far the configuration in force is loaded */
+
+enum {
+    MAX_LISTED = 50 /* names of one kind in the row */
+};
+
+static int
+ready_copies(const BkDaemon *daemon, int item, BkMs now)
+{
+    const char *version = daemon->bundle->items[item].version;
+    int ready = 0;
+
+    for (int up = 0; up < daemon->view->count; up++) {
+        const BkInst *inst = BkView_FindReady(daemon->view, up, item);
+        if (inst != NULL && strcmp(inst->version, version) == 0 &&
+            BkView_Usable(daemon->view, up, now, daemon->conf->stale_after)) {
+            ready++;
+        }
+    }
+    return ready;
+}
+
+static json_t *
+list_missing(const BkDaemon *daemon, bool *rolled)
+{
+    BkMs now = BkClock_Now();
+    json_t *missing = json_array();
+
+    *rolled = true;
+    for (int i = 0; i < daemon->bundle->item_count; i++) {
+        const BkItem *item = &daemon->bundle->items[i];
+        if (item->kind == BK_ITEM_SERVICE ||
+            ready_copies(daemon, i, now) >= item->copies) {
+            continue;
+        }
+        *rolled = false;
+        if (json_array_size(missing) < MAX_LISTED) {
+            json_array_append_new(missing, json_string(item->name));
+        }
+    }
+    return missing;
+}
+
+static json_t *
+list_doubt(const BkSteward *steward)
+{
+    json_t *doubt = json_array();
+
+    for (int i = 0; i < steward->engine_count; i++) {
+        const BkEngine *engine = steward->engines[i];
+        for (int e = 0; engine->ledger != NULL && e < engine->ledger->count;
+             e++) {
+            const BkEntry *entry = &engine->ledger->entries[e];
+            /* the planner's own, just sent, are no doubt yet */
+            bool own = entry->send_count == 1 &&
+                       engine->order_fence == entry->sends[0].fence &&
+                       engine->step == BK_ENGINE_ORDER;
+            bool next = engine->load != NULL &&
+                        strcmp(engine->load, entry->inst) == 0;
+            if (entry->unsettled && !own && !next &&
+                json_array_size(doubt) < MAX_LISTED) {
+                json_array_append_new(doubt,
+                                      json_pack("{s:s, s:s}", "upstream",
+                                                engine->name, "instance",
+                                                entry->inst));
+            }
+        }
+    }
+    return doubt;
+}
+
+static char *
+describe(const BkSteward *steward, bool *rolled)
+{
+    const BkDaemon *daemon = steward->daemon;
+    json_t *missing = list_missing(daemon, rolled);
+    json_t *root = json_pack(
+        "{s:I, s:b, s:o, s:o, s:I}", "version",
+        (json_int_t)daemon->inforce.acting, "rolled", *rolled, "missing",
+        missing, "doubt", list_doubt(steward), "moves",
+        (json_int_t)steward->moves);
+    char *text = json_dumps(root, JSON_COMPACT);
+
+    json_decref(root);
+    return text;
+}
+
+/* how far the planner before had come */
+void
+BkProgress_TakeRow(BkSteward *steward, BkStr data)
+{
+    json_t *root = json_loadb(data.ptr, data.len, 0, NULL);
+
+    if (root == NULL || steward->planning) {
+        json_decref(root);
+        return;
+    }
+    steward->moves = json_integer_value(json_object_get(root, "moves"));
+    steward->told_version =
+        json_is_true(json_object_get(root, "rolled"))
+            ? (uint64_t)json_integer_value(json_object_get(root, "version"))
+            : 0;
+    json_decref(root);
+}
+
+static void
+take_commit(const BkPlatReply *reply, void *arg)
+{
+    BkSteward *steward = arg;
+
+    steward->progress_busy = false;
+    if (reply->status == BK_OK) {
+        free(steward->progress);
+        steward->progress = steward->progress_next;
+        steward->told_version = steward->telling_version;
+    }
+    else {
+        free(steward->progress_next);
+        if (reply->status == BK_ECONFLICT) {
+            BkSteward_Deposed(steward, reply);
+        }
+    }
+    steward->progress_next = NULL;
+}
+
+static void
+commit(BkSteward *steward, const BkPlatReply *audit_next)
+{
+    char subject[32];
+    BkTxn *txn = BkSteward_Txn(steward);
+
+    if (audit_next != NULL) {
+        snprintf(subject, sizeof(subject), "version %llu",
+                 (unsigned long long)steward->telling_version);
+        BkAuditEntry entry = {"rolled", subject, "every copy is ready",
+                              steward->telling_version};
+        BkAudit_Add(txn, steward->conf->daemon.name, &entry, audit_next);
+    }
+    BkTxn_Put(txn, BK_STR("planner"), BK_STR("progress"),
+              BkStr_FromC(steward->progress_next));
+    BkPlat_Commit(steward->daemon->plat, txn, take_commit, steward);
+    BkTxn_Destroy(txn);
+}
+
+static void
+take_audit_next(const BkPlatReply *reply, void *arg)
+{
+    BkSteward *steward = arg;
+
+    if ((reply->status != BK_OK && reply->status != BK_ENOTFOUND) ||
+        !steward->planning) {
+        steward->progress_busy = false;
+        free(steward->progress_next);
+        steward->progress_next = NULL;
+        return;
+    }
+    commit(steward, reply);
+}
+
+void
+BkProgress_Step(BkSteward *steward)
+{
+    bool rolled;
+
+    if (steward->progress_busy) {
+        return;
+    }
+    char *text = describe(steward, &rolled);
+    if (steward->progress != NULL && strcmp(steward->progress, text) == 0) {
+        free(text);
+        return;
+    }
+    uint64_t version = steward->daemon->inforce.acting;
+    bool tell = rolled && steward->told_version != version;
+    steward->progress_busy = true;
+    steward->progress_next = text;
+    steward->telling_version = rolled ? version : steward->told_version;
+    if (tell) {
+        BK_LOG(BK_LOG_NOTICE, "planner", NULL, "version %llu is rolled",
+               (unsigned long long)version);
+        BkPlat_Read(steward->daemon->plat, BK_STR("audit-next"),
+                    BK_STR("next"), take_audit_next, steward);
+        return;
+    }
+    commit(steward, NULL);
+}
+
+void
+BkProgress_Status(json_t *status, BkSteward *steward)
+{
+    bool rolled;
+    bool planner = BkSteward_MayOrder(steward);
+
+    json_object_set_new(status, "planning", json_boolean(planner));
+    json_object_set_new(status, "own_term",
+                        json_integer((json_int_t)steward->was_term));
+    json_object_set_new(status, "unanswered",
+                        json_integer(steward->send_count));
+    if (planner) {
+        char *text = describe(steward, &rolled);
+        json_object_set_new(status, "progress",
+                            json_loads(text, 0, NULL));
+        free(text);
+    }
+}
--- /dev/null
+++ b/src/steward/steward.c
@@ -0,0 +1,230 @@
+#include "bk/steward/steward.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/counters.h"
+#include "bk/base/log.h"
+
+enum {
+    TICK_MS = 50,
+    STOP_SLACK_MS = 3000 /* beyond the timeout of an order */
+};
+
+bool
+BkSteward_MayOrder(const BkSteward *steward)
+{
+    return steward->planning && !steward->daemon->stopping &&
+           BkLease_Valid(&steward->lease, BkClock_Now());
+}
+
+void
+BkSteward_StandDown(BkSteward *steward)
+{
+    if (!steward->planning && !steward->taking_over) {
+        return;
+    }
+    BK_LOG(BK_LOG_NOTICE, "planner", NULL, "term %llu is over",
+           (unsigned long long)steward->was_term);
+    steward->planning = false;
+    steward->taking_over = false;
+    steward->round++;
+}
+
+uint64_t
+BkSteward_NextFence(BkSteward *steward)
+{
+    return BkFence_Make(steward->lease.term, ++steward->orders);
+}
+
+BkTxn *
+BkSteward_Txn(const BkSteward *steward)
+{
+    BkTxn *txn = BkTxn_Create();
+
+    BkTxn_Check(txn, BK_STR("planner"), BK_STR("term"),
+                steward->lease.term_version);
+    return txn;
+}
+
+bool
+BkSteward_Deposed(BkSteward *steward, const BkPlatReply *reply)
+{
+    for (int i = 0; i < reply->count; i++) {
+        if (BkStr_Equal(reply->rows[i].table, BK_STR("planner"))) {
+            BkLease_Conflict(&steward->lease, BkClock_Now());
+            BkSteward_StandDown(steward);
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+set_gauges(const BkSteward *steward)
+{
+    bool valid = BkLease_Valid(&steward->lease, BkClock_Now());
+
+    BkCounter_Set(
+        BkCounter_Get("bk_steward_term", NULL, "highest planner term known"),
+        (int64_t)steward->lease.term);
+    BkCounter_Set(BkCounter_Get("bk_steward_planner", NULL,
+                                "1 if this steward is the planner"),
+                  valid && steward->planning);
+}
+
+static bool
+orders_in_flight(const BkSteward *steward)
+{
+    for (int i = 0; i < steward->engine_count; i++) {
+        BkEngineStep step = steward->engines[i]->step;
+        if (step == BK_ENGINE_ORDER || step == BK_ENGINE_WRITE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* orders are awaited, then the lease is given up and quiet is written */
+static void
+step_stop(BkSteward *steward, BkMs now)
+{
+    bool held = steward->lease.phase == BK_LEASE_HOLD;
+    bool told =
+        steward->quiet_term >= steward->was_term || steward->send_count > 0;
+
+    if (now >= steward->stop_by) {
+        BkDaemon_Finish(steward->daemon);
+    }
+    else if (orders_in_flight(steward) || steward->releasing) {
+        return;
+    }
+    else if (held && !steward->released) {
+        BkElection_Release(steward);
+    }
+    else if (!steward->quieting && (told || steward->was_term == 0)) {
+        BkDaemon_Finish(steward->daemon);
+    }
+}
+
+static void
+hear_planner(BkSteward *steward)
+{
+    const BkDaemon *daemon = steward->daemon;
+
+    if (daemon->planner_at != steward->heard_at) {
+        steward->heard_at = daemon->planner_at;
+        BkLease_Heard(&steward->lease, daemon->term, daemon->planner_at);
+    }
+}
+
+static void
+tick(void *arg)
+{
+    BkSteward *steward = arg;
+    BkMs now = BkClock_Now();
+
+    BkTimer_Start(steward->timer, TICK_MS);
+    hear_planner(steward);
+    BkElection_Step(steward, now);
+    for (int i = 0; i < steward->engine_count; i++) {
+        BkEngine_Step(steward->engines[i], now);
+    }
+    BkPlan_Step(steward, now);
+    BkSends_Step(steward, now);
+    set_gauges(steward);
+    if (steward->daemon->stopping) {
+        step_stop(steward, now);
+    }
+}
+
+static void
+take_bundle(const BkBundle *bundle, BkView *view, void *arg)
+{
+    BkSteward *steward = arg;
+
+    (void)view;
+    BkSteward_NewDemand(steward, bundle);
+    for (int i = 0; i < steward->engine_count; i++) {
+        BkEngine *engine = steward->engines[i];
+        engine->up = BkBundle_FindUpstream(bundle, BkStr_FromC(engine->name));
+        if (engine->up >= 0 &&
+            bundle->upstreams[engine->up].kind != BK_UPSTREAM_ENGINE) {
+            engine->up = -1;
+        }
+        if (engine->up >= 0 && engine->ledger != NULL) {
+            engine->ledger->memory = bundle->upstreams[engine->up].memory;
+        }
+    }
+    if (steward->planning) {
+        BkTakeover_AddEngines(steward);
+    }
+    steward->next_decide = 0;
+}
+
+static void
+take_demand(const bkg_demand *demand, void *arg)
+{
+    BkSteward_TakeDemand(arg, demand);
+}
+
+static void
+begin_stop(void *arg)
+{
+    BkSteward *steward = arg;
+
+    steward->stop_by =
+        BkClock_Now() + steward->conf->order_timeout + STOP_SLACK_MS;
+}
+
+static void
+add_status(json_t *status, void *arg)
+{
+    BkProgress_Status(status, arg);
+}
+
+BkSteward *
+BkSteward_Create(BkStewardConf *conf)
+{
+    BkSteward *steward = BkMem_New(1, sizeof(*steward));
+    BkDaemonHooks hooks = {.on_bundle = take_bundle,
+                           .on_demand = take_demand,
+                           .on_stop = begin_stop,
+                           .on_status = add_status,
+                           .arg = steward};
+    BkLeaseConf lease = {
+        .span = conf->lease_span,
+        .hold = conf->lease_span - conf->lease_span / 4,
+        .renew = conf->lease_renew,
+        .quiet = conf->lease_renew * 2,
+    };
+
+    steward->conf = conf;
+    steward->daemon = BkDaemon_Create(&conf->daemon, BK_ROLE_STEWARD, &hooks);
+    if (steward->daemon == NULL) {
+        free(steward);
+        return NULL;
+    }
+    steward->lease = BkLease_Make(&lease, conf->daemon.name,
+                                  BkRng_Next(&steward->daemon->rng));
+    steward->heard_at = BK_MS_NEVER;
+    steward->timer = BkTimer_Create(steward->daemon->loop, tick, steward);
+    BkTimer_Start(steward->timer, 0);
+    return steward;
+}
+
+void
+BkSteward_Destroy(BkSteward *steward)
+{
+    BkTimer_Destroy(steward->timer);
+    BkDaemon_Destroy(steward->daemon);
+    for (int i = 0; i < steward->engine_count; i++) {
+        BkEngine_Destroy(steward->engines[i]);
+    }
+    BkSends_Destroy(steward);
+    BkSteward_FreeDemand(steward);
+    free(steward->engines);
+    free(steward->progress);
+    free(steward);
+}
