--- /dev/null
+++ b/tests/fuzz/fuzz.h
@@ -0,0 +1,14 @@
+/*
+ * fuzz - the entry point that libFuzzer calls with each input
+ */
+#ifndef BK_TESTS_FUZZ_H
+#define BK_TESTS_FUZZ_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* the name is the library's, not ours */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+#endif
--- a/tests/fuzz/fuzz_bundle.c
+++ b/tests/fuzz/fuzz_bundle.c
@@ -1,7 +1,7 @@
 /* bundles come from operators' files and from peers */
 #include "bk/bundle/bundle.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+#include "fuzz.h"
 
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/tests/fuzz/fuzz_gossip.c
+++ b/tests/fuzz/fuzz_gossip.c
@@ -4,7 +4,7 @@
 
 #include "bk/gossip/gossip.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+#include "fuzz.h"
 
 static void
 take_hello(const bkg_hello *hello, const char *from, void *arg)
--- a/tests/fuzz/fuzz_rows.c
+++ b/tests/fuzz/fuzz_rows.c
@@ -2,7 +2,7 @@
 #include "bk/claim/claim.h"
 #include "bk/ledger/ledger.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+#include "fuzz.h"
 
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
--- a/tests/fuzz/fuzz_view.c
+++ b/tests/fuzz/fuzz_view.c
@@ -3,7 +3,7 @@
 
 #include "bk/view/view.h"
 
-int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+#include "fuzz.h"
 
 static const char bundle_text[] = "[bundle]\nname = fuzz\n"
                                   "[upstream e1]\nkind = engine\n"
