--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -68,12 +68,12 @@
     uint32_t attempt;
     int tries; /* without progress */
     BkTried tried;
-    bool ran_before;  /* an earlier attempt may have run */
+    bool ran_before;       /* an earlier attempt may have run */
     BkStatus last_failure; /* of the last attempt, as seen of all of them */
-    bool try_same; /* it was cut, which says nothing of its upstream */
-    bool from_ticket; /* only holders of the stream can serve it */
-    bool all_gone;    /* every holder asked so far said 404 */
-    uint32_t up_key;  /* of the present or last attempt */
+    bool try_same;         /* it was cut, which says nothing of its upstream */
+    bool from_ticket;      /* only holders of the stream can serve it */
+    bool all_gone;         /* every holder asked so far said 404 */
+    uint32_t up_key;       /* of the present or last attempt */
     uint32_t up_boot;
     char up_addr[64];
     bool on_upstream; /* counted by BkRoute_Sent */
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -7,7 +7,7 @@
 #include "bk/base/log.h"
 
 enum {
-    RETRY_AFTER_MS = 1000   /* where nobody gave a better figure */
+    RETRY_AFTER_MS = 1000 /* where nobody gave a better figure */
 };
 
 static void on_timer(void *arg);
