base: free the signal watch with its loop

Cause: a run of bk-entry under the address sanitizer leaked 64 bytes, the watch of BkLoop_OnTerminate, which nobody owned.

--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -53,6 +53,7 @@
     bool stopped;
     BkTimerFn on_terminate;
     void *terminate_arg;
+    BkWatch *terminate_watch;
 };
 
 static int terminate_pipe[2] = {-1, -1};
@@ -89,6 +90,9 @@
     if (loop == NULL) {
         return;
     }
+    if (loop->terminate_watch != NULL) {
+        BkWatch_Destroy(loop->terminate_watch);
+    }
     free_dead_watches(loop);
     free(loop->heap);
     apr_pollset_destroy(loop->pollset);
@@ -313,7 +317,8 @@
     }
     loop->on_terminate = fn;
     loop->terminate_arg = arg;
-    BkLoop_Watch(loop, terminate_pipe[0], BK_LOOP_READ, read_signal, loop);
+    loop->terminate_watch =
+        BkLoop_Watch(loop, terminate_pipe[0], BK_LOOP_READ, read_signal, loop);
     sigaction(SIGTERM, &action, NULL);
     sigaction(SIGINT, &action, NULL);
     signal(SIGPIPE, SIG_IGN);
