--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -100,8 +100,13 @@
 }
 
 static BkStatus
-give_up(const BkCtl *ctl, bool unknown)
+give_up(const BkCtl *ctl, BkStatus status, bool unknown)
 {
+    if (!unknown && status == BK_ECONFLICT) {
+        return BkErr_Set(BK_ETRYAGAIN,
+                         "other changes kept taking the audit number; nothing "
+                         "was changed, try again");
+    }
     if (unknown) {
         return BkErr_Set(BK_EUNKNOWN,
                          "outcome unknown: the platform at %s took the change "
@@ -137,7 +142,7 @@
             break;
         }
         if (BkClock_Now() >= deadline) {
-            return give_up(ctl, unknown);
+            return give_up(ctl, status, unknown);
         }
         BkCtl_Sleep(ctl, PAUSE_LEAST + BkRng_Below(&rng, PAUSE_SPREAD));
     }
--- a/src/ctl/change.h
+++ b/src/ctl/change.h
@@ -20,7 +20,8 @@
  * when the platform is silent or another entry took the number.
  * ERRORS: BK_ECONFLICT: the row has another version now, be it by somebody
  * else or by this change, whose answer was lost; re-read it. BK_EPLATFORM:
- * nothing was changed. BK_EUNKNOWN: it may have been, or may yet be.
+ * nothing was changed. BK_ETRYAGAIN: neither, others were always faster.
+ * BK_EUNKNOWN: it may have been, or may yet be.
  */
 BkStatus BkCtl_Change(BkCtl *ctl, BkChange *change);
 
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -48,6 +48,7 @@
     BkLoop *loop; /* these three once the settings are loaded */
     BkHttpClient *http;
     BkPlat *plat;
+    bool reported; /* the output tells of the failure already */
 } BkCtl;
 
 /* ERRORS: BK_ECONFIG, BK_EIO. */
--- a/src/ctl/drain.c
+++ b/src/ctl/drain.c
@@ -42,7 +42,7 @@
         return;
     }
     if (!drained) {
-        printf("%s is not drained any more\n", name);
+        printf("%s is not drained%s\n", name, changed ? " any more" : "");
     }
     else {
         printf("%s is drained%s by %s: %s\n", name, changed ? "" : " already,",
--- a/src/ctl/main.c
+++ b/src/ctl/main.c
@@ -11,6 +11,7 @@
 enum {
     MAX_WORDS = 4,
     MAX_NAME = 32,
+    MAX_TEXT = 500, /* bytes of --why and --by */
     OPT_AGAINST = 256,
     OPT_BY,
     OPT_CHECK_CONFIG,
@@ -230,10 +231,11 @@
 
     for (size_t i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
         json_t *text = texts[i] == NULL ? NULL : json_string(texts[i]);
-        if (texts[i] != NULL && (text == NULL || texts[i][0] == '\0')) {
+        size_t len = json_string_length(text);
+        if (texts[i] != NULL && (len == 0 || len > MAX_TEXT)) {
             json_decref(text);
-            return BkErr_Set(BK_EUSAGE, "--%s: needs text in UTF-8",
-                             i == 0 ? "why" : "by");
+            return BkErr_Set(BK_EUSAGE, "--%s: needs 1 to %d bytes of UTF-8",
+                             i == 0 ? "why" : "by", MAX_TEXT);
         }
         json_decref(text);
     }
@@ -313,7 +315,7 @@
     }
     BkCtl ctl = {.options = line.options};
     BkStatus status = run_line(&ctl, &line);
-    if (status != BK_OK) {
+    if (status != BK_OK && !ctl.reported) {
         BkCtl_PrintError(&ctl, status);
     }
     BkCtl_Close(&ctl);
--- a/src/ctl/output.c
+++ b/src/ctl/output.c
@@ -33,23 +33,34 @@
              units[i].name);
 }
 
+static const char *
+message_of(BkStatus status)
+{
+    const char *message = BkErr_Last();
+
+    return message[0] != '\0' ? message : BkStatus_Info(status)->text;
+}
+
+json_t *
+BkCtl_ErrorJson(BkStatus status)
+{
+    const BkStatusInfo *info = BkStatus_Info(status);
+
+    return json_pack("{s:i, s:s, s:s, s:s}", "code", (int)info->status, "name",
+                     info->name, "outcome", BkOutcome_Name(info->outcome),
+                     "message", message_of(status));
+}
+
 void
 BkCtl_PrintError(const BkCtl *ctl, BkStatus status)
 {
     const BkStatusInfo *info = BkStatus_Info(status);
-    const char *message = BkErr_Last();
 
-    if (message[0] == '\0') {
-        message = info->text;
-    }
     if (ctl->options.json) {
-        BkCtl_PrintJson(json_pack("{s:{s:i, s:s, s:s, s:s}}", "error", "code",
-                                  (int)info->status, "name", info->name,
-                                  "outcome", BkOutcome_Name(info->outcome),
-                                  "message", message));
+        BkCtl_PrintJson(json_pack("{s:o}", "error", BkCtl_ErrorJson(status)));
         return;
     }
     fflush(stdout);
-    fprintf(stderr, "bkctl: %s (%s, %d)\n", message, info->name,
+    fprintf(stderr, "bkctl: %s (%s, %d)\n", message_of(status), info->name,
             (int)info->status);
 }
--- a/src/ctl/roll.c
+++ b/src/ctl/roll.c
@@ -133,6 +133,26 @@
     return status;
 }
 
+static BkStatus
+fail_unread(const BkCtl *ctl)
+{
+    return BkErr_Set(BK_EUNKNOWN,
+                     "outcome unknown: the platform at %s does not answer; "
+                     "ask again with the same command",
+                     ctl->conf.platform);
+}
+
+/* an earlier run may have been accepted: this one cannot tell */
+static BkStatus
+fail_silent(const BkCtl *ctl)
+{
+    return BkErr_Set(BK_EPLATFORM,
+                     "the platform at %s does not answer; this run changed "
+                     "nothing. What an earlier run of the same command did "
+                     "is not known; ask again",
+                     ctl->conf.platform);
+}
+
 static BkStatus
 fail_taken(const BkRoll *roll, const BkInForceRow *now,
            const BkAuditRow *taken)
@@ -147,7 +167,8 @@
                          in_force, now->by, in_force);
     }
     return BkErr_Set(BK_ECONFLICT,
-                     "version %" PRIu64 " was rolled by %s at %s: %s (%s); "
+                     "version %" PRIu64 " was rolled by %.60s at %s: %s "
+                     "(%.100s); "
                      "nothing was changed. In force is version %" PRIu64
                      ": look at it, then roll with --replaces %" PRIu64,
                      roll->replaces + 1, taken->by, taken->at, taken->subject,
@@ -167,14 +188,17 @@
                          " or later; nothing was changed",
                          now->version, roll->replaces);
     }
+    bool last = now->version == roll->replaces + 1;
     status = BkCtl_FindRoll(ctl, roll->replaces + 1, &taken);
-    const char *nonce =
-        now->version == roll->replaces + 1 ? now->nonce : taken.nonce;
+    const char *nonce = last ? now->nonce : taken.nonce;
     roll->in_force = now->version;
-    if (strcmp(nonce, roll->row.nonce) == 0) {
+    if (!last && status == BK_EPLATFORM) {
+        status = fail_unread(ctl);
+    }
+    else if (strcmp(nonce, roll->row.nonce) == 0) {
         status = BK_OK;
     }
-    else if (status == BK_OK || now->version == roll->replaces + 1) {
+    else if (last || status == BK_OK) {
         status = fail_taken(roll, now, &taken);
     }
     BkAuditRow_Clear(&taken);
@@ -236,15 +260,6 @@
     return status;
 }
 
-static BkStatus
-fail_unread(const BkCtl *ctl)
-{
-    return BkErr_Set(BK_EUNKNOWN,
-                     "outcome unknown: the platform at %s does not answer; "
-                     "ask again with the same command",
-                     ctl->conf.platform);
-}
-
 /* carries the roll out, or finds out that it was carried out before */
 static BkStatus
 accept_roll(BkCtl *ctl, BkRoll *roll)
@@ -252,6 +267,9 @@
     BkInForceRow now;
     BkStatus status = BkCtl_ReadInForce(ctl, &now);
 
+    if (status == BK_EPLATFORM) {
+        return fail_silent(ctl);
+    }
     if (status == BK_OK && now.version != roll->replaces) {
         roll->asked_again = true;
         status = resolve_taken(ctl, roll, &now);
@@ -299,18 +317,27 @@
     BkBuf_Destroy(&body);
 }
 
+/* failure: what --wait ended with; the acceptance stands */
 static void
-print_accepted(const BkCtl *ctl, const BkRoll *roll)
+print_json(BkCtl *ctl, const BkRoll *roll, BkStatus failure)
 {
-    if (ctl->options.json) {
-        BkCtl_PrintJson(json_pack(
-            "{s:s, s:I, s:I, s:s, s:b, s:i, s:i, s:b}", "bundle",
-            roll->row.name, "accepted", (json_int_t)roll->row.version,
-            "in_force", (json_int_t)roll->in_force, "digest", roll->row.digest,
-            "asked_again", roll->asked_again, "told", roll->told, "daemons",
-            roll->daemons, "rolled", roll->rolled));
-        return;
+    json_t *out = json_pack(
+        "{s:s, s:I, s:I, s:s, s:b, s:i, s:i, s:b}", "bundle", roll->row.name,
+        "accepted", (json_int_t)roll->row.version, "in_force",
+        (json_int_t)roll->in_force, "digest", roll->row.digest, "asked_again",
+        roll->asked_again, "told", roll->told, "daemons", roll->daemons,
+        "rolled", roll->rolled);
+
+    if (failure != BK_OK) {
+        json_object_set_new(out, "error", BkCtl_ErrorJson(failure));
+        ctl->reported = true;
     }
+    BkCtl_PrintJson(out);
+}
+
+static void
+print_accepted(const BkRoll *roll)
+{
     printf("accepted%s: %s is version %" PRIu64 ", replacing %" PRIu64 "\n",
            roll->asked_again ? " before" : "", roll->row.name,
            roll->row.version, roll->replaces);
@@ -337,13 +364,14 @@
     }
     /* people see the acceptance at once, machines get one object */
     if (status == BK_OK && !ctl->options.json) {
-        print_accepted(ctl, &roll);
+        print_accepted(&roll);
     }
-    if (status == BK_OK && ctl->options.wait) {
+    bool accepted = status == BK_OK;
+    if (accepted && ctl->options.wait) {
         status = BkCtl_WaitRolled(ctl, &roll);
     }
-    if (status == BK_OK && ctl->options.json) {
-        print_accepted(ctl, &roll);
+    if (accepted && ctl->options.json) {
+        print_json(ctl, &roll, status);
     }
     clear_roll(&roll);
     return status;
--- a/src/ctl/roll.h
+++ b/src/ctl/roll.h
@@ -28,8 +28,8 @@
 
 /*
  * Shows progress until the planner says that every item of the version is
- * ready. ERRORS: BK_ECONFLICT when another version came into force,
- * BK_ETRYAGAIN after the longest wait; the acceptance stands in both cases.
+ * ready. ERRORS: BK_ETRYAGAIN when another version came into force first or
+ * after the longest wait; the acceptance stands in both cases.
  */
 BkStatus BkCtl_WaitRolled(BkCtl *ctl, BkRoll *roll);
 
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -71,7 +71,7 @@
     const BkDaemonList *daemons = &fleet->daemons;
     uint64_t version = fleet->in_force.version;
 
-    if (fleet->platform == BK_OK) {
+    if (version != 0) {
         printf("daemons    version %" PRIu64 " is in force at %d of %d  "
                "[daemons]\n",
                version, BkDaemonList_CountActing(daemons, version),
--- a/src/ctl/wait.c
+++ b/src/ctl/wait.c
@@ -95,9 +95,9 @@
         return BK_OK;
     }
     if (look->progress.version > version) {
-        return BkErr_Set(BK_ECONFLICT,
-                         "version %" PRIu64 " was accepted, but version "
-                         "%" PRIu64 " came into force since",
+        return BkErr_Set(BK_ETRYAGAIN,
+                         "version %" PRIu64 " is accepted, but version "
+                         "%" PRIu64 " came into force before it was rolled",
                          version, look->progress.version);
     }
     *done = look->progress.rolled;
