--- a/include/bk/claim/claim.h
+++ b/include/bk/claim/claim.h
@@ -100,7 +100,7 @@
 BkClaimBook *BkClaimBook_CreateOn(BkLoop *loop, BkClaimStore store,
                                   BkMs patience, BkMs retention);
 
-/* With a transaction in flight, destroy the store first. */
+/* Only when Pending is 0, or the loop runs no more. */
 void BkClaimBook_Destroy(BkClaimBook *book);
 
 /* Claims; fn is called once, within patience, and never before this
@@ -125,4 +125,15 @@
 /* Outcomes and releases not yet written; a planned stop waits for 0. */
 int BkClaimBook_Pending(const BkClaimBook *book);
 
+/*
+ * Deletes rows past their retention, a page at a time, each at its checked
+ * version. Every entry sweeps; a row is deleted by whoever comes first.
+ */
+typedef struct BkClaimSweep BkClaimSweep;
+
+BkClaimSweep *BkClaimSweep_Create(BkLoop *loop, BkPlat *plat, BkMs retention);
+
+/* Only when the loop runs no more, as for the book. */
+void BkClaimSweep_Destroy(BkClaimSweep *sweep);
+
 #endif
--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -88,6 +88,7 @@
     BkDaemon *daemon;
     BkHttpServer *server;
     BkClaimBook *book;
+    BkClaimSweep *sweep;
     BkRoute route;
     BkFair *fair; /* NULL before the first bundle */
     BkRetryBudget budget;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -111,6 +111,8 @@
     entry->book =
         BkClaimBook_Create(entry->daemon->loop, entry->daemon->plat,
                            conf->claim_patience, conf->claim_retention);
+    entry->sweep = BkClaimSweep_Create(
+        entry->daemon->loop, entry->daemon->plat, conf->claim_retention);
     entry->route.conf = make_route_conf(conf);
     entry->route.rng = BkRng_Make(BkRng_Next(&entry->daemon->rng));
     entry->budget = (BkRetryBudget){
@@ -132,6 +134,7 @@
     }
     BkHttpServer_Destroy(entry->server);
     BkCancel_DropAll(entry);
+    BkClaimSweep_Destroy(entry->sweep);
     BkClaimBook_Destroy(entry->book);
     BkDemand_Destroy(entry->demand);
     BkTimer_Destroy(entry->stop_timer);
