--- a/src/steward/election.c
+++ b/src/steward/election.c
@@ -210,8 +210,7 @@
         return;
     }
     daemon->term = steward->lease.term;
-    daemon->planner_at =
-        steward->lease.valid_until - steward->lease.conf.hold;
+    daemon->planner_at = steward->lease.valid_until - steward->lease.conf.hold;
     steward->heard_at = daemon->planner_at;
     snprintf(daemon->planner, sizeof(daemon->planner), "%s",
              steward->conf->daemon.name);
