net: send no request of a caller twice

The proof refused_after_a_cut failed: a caller was told "not run" about a request that had run. Cause: libcurl sends a request again, silently, when a pooled connection is closed under it; the engine had run the first one and refused the second one.

Ruled out: the rule in decide.c (ran_before was false since the entry had seen one exchange only); a fresh connection for every call (costs a connection per request).

Change: the callback that libcurl calls before each send refuses a second one once bytes are on the wire; the call ends in BK_EUNKNOWN. A GET by BkHttpClient_Fetch may still be sent again: without that, polls failed on closed pooled connections and took upstreams out for a moment (seen as ENOTREADY in stream_cut_at_any_byte).

--- a/include/bk/net/http_client.h
+++ b/include/bk/net/http_client.h
@@ -1,9 +1,11 @@
 /*
  * http_client - HTTP calls out, by libcurl's multi interface on the loop
  *
- * Connections are pooled per target. libcurl silently sends a request again
- * when a pooled connection turns out dead, so a call with once set goes out
- * on a fresh connection and is never repeated.
+ * Connections are pooled per target. libcurl would silently send a request
+ * again when a pooled connection turns out dead; that is refused and ends the
+ * call in BK_EUNKNOWN, since the first one may have run. Only a GET by
+ * BkHttpClient_Fetch, a read between programs, is sent again. A call with
+ * once set goes out on a fresh connection, where the case does not arise.
  */
 #ifndef BK_NET_HTTP_CLIENT_H
 #define BK_NET_HTTP_CLIENT_H
@@ -36,7 +38,7 @@
     BkMs connect_timeout;       /* 0: one second */
     BkMs timeout;               /* whole call; 0: none */
     BkMs idle_timeout;          /* between two bytes of answer; 0: none */
-    bool once;                  /* fresh connection, never sent twice */
+    bool once;                  /* on a fresh connection */
     /* response head is complete; may be NULL */
     void (*on_head)(BkHttpCall *call, int code, void *arg);
     /* one header field of the response; may be NULL */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -30,7 +30,8 @@
     BkHttpClient *client;
     CURL *easy;
     CallState state;
-    bool refused; /* not a numeric address: never given to libcurl */
+    bool may_repeat; /* a read, which libcurl may send again */
+    bool refused;    /* not a numeric address: never given to libcurl */
     bool paused;
     bool resume; /* once libcurl is not calling us */
     bool framed; /* the answer says how long it is */
@@ -338,6 +339,20 @@
     return CURL_SOCKOPT_OK;
 }
 
+/* libcurl sends a request again, silently, when a pooled connection is closed
+   under it; the first one may have run, which a refusal of the second one
+   would hide */
+static int
+allow_send(void *arg, char *far_ip, char *near_ip, int far_port, int near_port)
+{
+    BkHttpCall *call = arg;
+    long request = 0;
+
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request);
+    return request > 0 && !call->may_repeat ? CURL_PREREQFUNC_ABORT
+                                            : CURL_PREREQFUNC_OK;
+}
+
 /* anything else would make libcurl start a thread that looks names up */
 static bool
 is_numeric(const char *url)
@@ -414,6 +429,8 @@
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
     curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
     curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, tune_socket);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, allow_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
     curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)READ_BUFFER);
     curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)WRITE_BUFFER);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect);
@@ -648,6 +665,7 @@
 {
     BkHttpCall *call = BkHttpClient_Start(client, spec);
 
+    call->may_repeat = strcmp(spec->method, "GET") == 0 && !spec->once;
     call->fetch = fn;
     call->fetch_arg = arg;
     call->fetched = BkBuf_Make(max);
