--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -114,7 +114,8 @@
                          ctl->conf.platform);
     }
     return BkErr_Set(BK_EPLATFORM,
-                     "the platform at %s does not answer; nothing was changed",
+                     "the platform at %s does not answer; this run changed "
+                     "nothing",
                      ctl->conf.platform);
 }
 
