--- a/src/ctl/fleet.c
+++ b/src/ctl/fleet.c
@@ -28,12 +28,21 @@
     return json_is_true(json_object_get(object, member));
 }
 
+static bool
+is_service(json_t *object)
+{
+    const char *kind = json_string_value(json_object_get(object, "kind"));
+
+    return kind != NULL && strcmp(kind, "service") == 0;
+}
+
 static void
 take_upstream(BkSeenUpstream *out, json_t *object)
 {
     *out = (BkSeenUpstream){
         .name = dup_member(object, "name"),
         .domain = dup_member(object, "domain"),
+        .service = is_service(object),
         .usable = bool_member(object, "usable"),
         .leaving = bool_member(object, "leaving"),
         .left = bool_member(object, "left"),
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -11,6 +11,7 @@
 typedef struct BkSeenUpstream {
     char *name;
     char *domain;
+    bool service; /* has no instances */
     bool usable;
     bool leaving;
     bool left;
--- a/src/ctl/log.c
+++ b/src/ctl/log.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <jansson.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "output.h"
 #include "show.h"
@@ -17,7 +18,7 @@
         const BkAuditRow *row = &audit->rows[i];
         printf("  %" PRIu64 "  %s  %s  %s %s", row->number, row->at, row->by,
                row->action, row->subject);
-        if (row->version != 0) {
+        if (strcmp(row->action, "roll") == 0) {
             printf(" as version %" PRIu64, row->version);
         }
         printf(": %s\n", row->why);
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -114,21 +114,31 @@
     }
 }
 
+static void
+print_upstream(const BkFleet *fleet, const BkSeenUpstream *seen)
+{
+    char span[BK_CTL_SPAN];
+
+    BkCtl_FormatSpan(seen->seen_ms, span);
+    printf("  %-16s %-8s %-8s %-10s ", seen->name,
+           seen->service ? "service" : "engine", seen->domain,
+           BkSeenUpstream_State(seen));
+    if (!seen->service) {
+        printf("%d instances ready, ", seen->ready);
+    }
+    printf("%d running, %d waiting%s, seen %s%s\n", seen->running,
+           seen->waiting,
+           BkFleet_FindDrain(fleet, seen->name) != NULL ? ", drained" : "",
+           span, seen->seen_ms < 0 ? "" : " ago");
+}
+
 static void
 print_upstreams(const BkFleet *fleet)
 {
     printf("upstreams  %d, the freshest word of any daemon  [daemons]\n",
            fleet->upstream_count);
     for (int i = 0; i < fleet->upstream_count; i++) {
-        const BkSeenUpstream *seen = fleet->upstreams[i];
-        char span[BK_CTL_SPAN];
-        BkCtl_FormatSpan(seen->seen_ms, span);
-        printf("  %-16s %-8s %-10s %d instances ready, %d running, "
-               "%d waiting%s, seen %s%s\n",
-               seen->name, seen->domain, BkSeenUpstream_State(seen),
-               seen->ready, seen->running, seen->waiting,
-               BkFleet_FindDrain(fleet, seen->name) != NULL ? ", drained" : "",
-               span, seen->seen_ms < 0 ? "" : " ago");
+        print_upstream(fleet, fleet->upstreams[i]);
     }
 }
 
@@ -191,8 +201,9 @@
         const BkSeenUpstream *seen = fleet->upstreams[i];
         json_array_append_new(
             list,
-            json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:I}", "name",
-                      seen->name, "domain", seen->domain, "state",
+            json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:I}", "name",
+                      seen->name, "kind", seen->service ? "service" : "engine",
+                      "domain", seen->domain, "state",
                       BkSeenUpstream_State(seen), "ready", seen->ready,
                       "running", seen->running, "waiting", seen->waiting,
                       "drained", BkFleet_FindDrain(fleet, seen->name) != NULL,
--- a/src/daemon/ops.c
+++ b/src/daemon/ops.c
@@ -67,6 +67,7 @@
 describe_upstream(const BkDaemon *daemon, int up)
 {
     const BkUpView *seen = &daemon->view->ups[up];
+    const BkUpstream *spec = &daemon->bundle->upstreams[up];
     BkMs now = BkClock_Now();
     bool usable =
         BkView_Usable(daemon->view, up, now, daemon->conf->stale_after);
@@ -80,10 +81,10 @@
         }
     }
     return json_pack(
-        "{ss ss sb sb sb sI si si so}", "name",
-        daemon->bundle->upstreams[up].name, "domain",
-        daemon->bundle->upstreams[up].domain, "usable", usable, "leaving",
-        seen->leaving, "left", seen->left, "seen_ms",
+        "{ss ss ss sb sb sb sI si si so}", "name", spec->name, "kind",
+        spec->kind == BK_UPSTREAM_ENGINE ? "engine" : "service", "domain",
+        spec->domain, "usable", usable, "leaving", seen->leaving, "left",
+        seen->left, "seen_ms",
         (json_int_t)(seen->seen == BK_MS_NEVER ? -1 : now - seen->seen),
         "running", seen->running, "waiting", seen->waiting, "ready", ready);
 }
