--- a/include/bk/steward/steward.h
+++ b/include/bk/steward/steward.h
@@ -55,25 +55,25 @@
     int up; /* in the bundle acted upon; -1: not in it */
     BkLedger *ledger;
     BkEngineStep step;
-    uint64_t round;  /* steward's round in which the step began */
-    bool dirty;      /* the ledger differs from its row */
-    bool reread;     /* the row may differ from the ledger */
-    bool broken;     /* the row cannot be understood: no orders */
+    uint64_t round; /* steward's round in which the step began */
+    bool dirty;     /* the ledger differs from its row */
+    bool reread;    /* the row may differ from the ledger */
+    bool broken;    /* the row cannot be understood: no orders */
     bool ask_now;
-    bool asked;      /* its state was taken in this round */
-    char *load;      /* instance to load, once the row is written */
+    bool asked; /* its state was taken in this round */
+    char *load; /* instance to load, once the row is written */
     uint64_t load_fence;
-    char *ordered;   /* instance of the order in progress; NULL: a fence */
-    bool is_load;    /* that order is a load */
+    char *ordered; /* instance of the order in progress; NULL: a fence */
+    bool is_load;  /* that order is a load */
     uint64_t order_fence;
-    BkMs asked_at;   /* of the ask in progress */
+    BkMs asked_at; /* of the ask in progress */
     BkMs next_ask;
     uint64_t asked_version; /* bundle acted upon then */
     BkMs wait_until;        /* after a failure */
     BkMs next_fence;        /* repeat of a fence without effect */
-    uint32_t digest; /* of the state taken last */
+    uint32_t digest;        /* of the state taken last */
     uint32_t boot;
-    uint64_t fence;  /* highest the engine is known to have seen */
+    uint64_t fence; /* highest the engine is known to have seen */
 } BkEngine;
 
 /* A load order of this process that was not answered. */
@@ -102,14 +102,15 @@
     BkDaemon *daemon;
     BkTimer *timer;
     BkLease lease;
-    BkMs heard_at;     /* planner_at told to the lease last */
-    uint64_t beat;     /* renewals of this term */
-    uint64_t was_term; /* highest term held */
-    uint64_t quiet_term; /* highest written to the session row */
+    BkMs heard_at;         /* planner_at told to the lease last */
+    const char *claim_why; /* for the audit trail */
+    uint64_t beat;         /* renewals of this term */
+    uint64_t was_term;     /* highest term held */
+    uint64_t quiet_term;   /* highest written to the session row */
     bool quieting;
     bool planning;
     bool taking_over;
-    uint64_t round; /* rises when planning begins or ends */
+    uint64_t round;  /* rises when planning begins or ends */
     uint64_t orders; /* of this term, for fencing numbers */
     BkEngine **engines;
     int engine_count;
@@ -123,8 +124,8 @@
     BkDemand *demand; /* per item of the bundle acted upon */
     int demand_count;
     BkDemandTally *tally; /* per item too */
-    BkMs forwards_at;            /* start of the second counted */
-    int forwards;                /* demands passed on in it */
+    BkMs forwards_at;     /* start of the second counted */
+    int forwards;         /* demands passed on in it */
     BkDemandSource *sources;
     int source_count;
     BkMs next_decide;
@@ -136,7 +137,7 @@
     char *progress_next;      /* being written */
     uint64_t told_version;    /* "rolled" stands in the audit trail */
     uint64_t telling_version; /* the same, once the write is done */
-    BkMs stop_by; /* of a planned stop */
+    BkMs stop_by;             /* of a planned stop */
     bool releasing;
     bool released;
 };
--- a/src/steward/demand.c
+++ b/src/steward/demand.c
@@ -65,8 +65,8 @@
         }
     }
     *fresh = true;
-    source->rows = BkMem_Grow(source->rows, (size_t)source->count + 1,
-                              sizeof(DemandRow));
+    source->rows =
+        BkMem_Grow(source->rows, (size_t)source->count + 1, sizeof(DemandRow));
     DemandRow *row = &source->rows[source->count++];
     *row = (DemandRow){.key = key};
     return row;
--- a/src/steward/election.c
+++ b/src/steward/election.c
@@ -75,6 +75,9 @@
     rows.holder = get_text(term, "holder");
     rows.released = beat != NULL && get_text(beat, "holder")[0] == '\0' &&
                     get_number(beat, "term") == rows.term;
+    steward->claim_why = rows.term == 0  ? "there was no planner yet"
+                         : rows.released ? "the planner gave its term up"
+                                         : "the planner's lease had lapsed";
     BkLease_TookRead(&steward->lease, &rows, BkClock_Now());
     json_decref(term);
     json_decref(beat);
@@ -124,7 +127,7 @@
     BkSteward *steward = arg;
     const BkLease *lease = &steward->lease;
     const char *me = steward->conf->daemon.name;
-    BkAuditEntry entry = {"takeover", me, "the planner's lease had lapsed",
+    BkAuditEntry entry = {"takeover", me, steward->claim_why,
                           steward->daemon->inforce.acting};
 
     if (next->status != BK_OK && next->status != BK_ENOTFOUND) {
@@ -210,8 +213,7 @@
         return;
     }
     daemon->term = steward->lease.term;
-    daemon->planner_at =
-        steward->lease.valid_until - steward->lease.conf.hold;
+    daemon->planner_at = steward->lease.valid_until - steward->lease.conf.hold;
     steward->heard_at = daemon->planner_at;
     snprintf(daemon->planner, sizeof(daemon->planner), "%s",
              steward->conf->daemon.name);
--- a/src/steward/engine.c
+++ b/src/steward/engine.c
@@ -196,9 +196,9 @@
     BkPlat_Commit(engine->steward->daemon->plat, txn, take_write, engine);
     BkTxn_Destroy(txn);
     BkBuf_Destroy(&data);
-    BkCounter_Add(BkCounter_Get("bk_steward_writes_total", NULL,
-                                "writes of ledgers"),
-                  1);
+    BkCounter_Add(
+        BkCounter_Get("bk_steward_writes_total", NULL, "writes of ledgers"),
+        1);
 }
 
 static bool
@@ -228,9 +228,9 @@
     }
     engine->digest = seen->digest;
     engine->boot = seen->boot;
-    int settled = BkLedger_Settle(
-        engine->ledger, BkEngine_Upstream(engine)->fencing, engine->fence,
-        &proof, engine->asked_at, now);
+    int settled =
+        BkLedger_Settle(engine->ledger, BkEngine_Upstream(engine)->fencing,
+                        engine->fence, &proof, engine->asked_at, now);
     engine->dirty |= changed || settled > 0;
     engine->ask_now = settled > 0;
     BkSends_Prune(steward, engine);
@@ -257,8 +257,8 @@
     const BkUpView *seen = &daemon->view->ups[engine->up];
     engine->asked = true;
     settle(engine, seen, now);
-    engine->next_ask = now + (at_rest(engine->ledger) ? steward->conf->ask
-                                                      : ASK_BUSY_MS);
+    engine->next_ask =
+        now + (at_rest(engine->ledger) ? steward->conf->ask : ASK_BUSY_MS);
     BkOrder_Resend(engine, now);
 }
 
@@ -267,8 +267,7 @@
 {
     BkDaemon *daemon = engine->steward->daemon;
     char url[URL_BYTES];
-    BkHttpSpec spec = {
-        .method = "GET", .url = url, .timeout = ASK_TIMEOUT_MS};
+    BkHttpSpec spec = {.method = "GET", .url = url, .timeout = ASK_TIMEOUT_MS};
 
     snprintf(url, sizeof(url), "http://%s/admin/state",
              BkEngine_Upstream(engine)->addr);
@@ -298,16 +297,14 @@
         !BkSteward_MayOrder(engine->steward)) {
         return;
     }
+    bool load_reserved = engine->load != NULL && engine->dirty;
     if (engine->reread) {
         read_row(engine);
     }
-    else if (engine->load != NULL && engine->dirty) {
-        write_row(engine);
-    }
     else if (!engine->dirty && BkOrder_Start(engine, now)) {
         start_step(engine, BK_ENGINE_ORDER);
     }
-    else if (ask_due(engine, now)) {
+    else if (!load_reserved && ask_due(engine, now)) {
         ask_state(engine, now);
     }
     else if (engine->dirty) {
--- a/src/steward/order.c
+++ b/src/steward/order.c
@@ -28,9 +28,9 @@
     }
     snprintf(labels, sizeof(labels), "kind=\"%s\",result=\"%s\"", kind,
              outcome);
-    BkCounter_Add(BkCounter_Get("bk_steward_orders_total", labels,
-                                "orders to engines"),
-                  1);
+    BkCounter_Add(
+        BkCounter_Get("bk_steward_orders_total", labels, "orders to engines"),
+        1);
 }
 
 /* nothing of the order is in flight any more */
@@ -160,13 +160,12 @@
     free(engine->load);
     engine->load = NULL;
     BkSends_Add(steward, fence, engine->name);
-    send_order(engine, "load",
-               json_pack("{s:s, s:s, s:s, s:s*, s:I, s:I}", "instance",
-                         entry->inst, "model", entry->item, "version",
-                         entry->version, "base",
-                         base_name(steward->daemon->bundle, entry->item),
-                         "bytes", (json_int_t)entry->bytes, "fence",
-                         (json_int_t)fence));
+    send_order(
+        engine, "load",
+        json_pack("{s:s, s:s, s:s, s:s*, s:I, s:I}", "instance", entry->inst,
+                  "model", entry->item, "version", entry->version, "base",
+                  base_name(steward->daemon->bundle, entry->item), "bytes",
+                  (json_int_t)entry->bytes, "fence", (json_int_t)fence));
 }
 
 static void
@@ -188,9 +187,8 @@
     engine->next_fence = now + engine->steward->conf->resend_after;
     engine->order_fence = BkSteward_NextFence(engine->steward);
     engine->is_load = false;
-    send_order(
-        engine, "fence",
-        json_pack("{s:I}", "fence", (json_int_t)engine->order_fence));
+    send_order(engine, "fence",
+               json_pack("{s:I}", "fence", (json_int_t)engine->order_fence));
 }
 
 /* at the start of a term, after a restart of the engine, and whenever an
@@ -289,8 +287,7 @@
         bool due = entry->ordered_at == 0 ||
                    now - entry->ordered_at >= steward->conf->resend_after;
         if (entry->state != BK_ENTRY_LOAD_ORDERED || !due ||
-            is_shown(seen, entry->inst) ||
-            !is_wanted(daemon->bundle, entry)) {
+            is_shown(seen, entry->inst) || !is_wanted(daemon->bundle, entry)) {
             continue;
         }
         uint64_t fence = BkSteward_NextFence(steward);
--- a/src/steward/plan.c
+++ b/src/steward/plan.c
@@ -33,8 +33,7 @@
         BK_LOG(BK_LOG_WARNING, "planner", NULL, "%s", BkErr_Last());
         return;
     }
-    engine->load =
-        BkStr_Dup(BkStr_FromC(engine->ledger->entries[entry].inst));
+    engine->load = BkStr_Dup(BkStr_FromC(engine->ledger->entries[entry].inst));
     engine->load_fence = fence;
     engine->dirty = true;
     steward->load_tokens -= 1;
--- a/src/steward/progress.c
+++ b/src/steward/progress.c
@@ -62,14 +62,13 @@
             bool own = entry->send_count == 1 &&
                        engine->order_fence == entry->sends[0].fence &&
                        engine->step == BK_ENGINE_ORDER;
-            bool next = engine->load != NULL &&
-                        strcmp(engine->load, entry->inst) == 0;
+            bool next =
+                engine->load != NULL && strcmp(engine->load, entry->inst) == 0;
             if (entry->unsettled && !own && !next &&
                 json_array_size(doubt) < MAX_LISTED) {
-                json_array_append_new(doubt,
-                                      json_pack("{s:s, s:s}", "upstream",
-                                                engine->name, "instance",
-                                                entry->inst));
+                json_array_append_new(
+                    doubt, json_pack("{s:s, s:s}", "upstream", engine->name,
+                                     "instance", entry->inst));
             }
         }
     }
@@ -81,11 +80,11 @@
 {
     const BkDaemon *daemon = steward->daemon;
     json_t *missing = list_missing(daemon, rolled);
-    json_t *root = json_pack(
-        "{s:I, s:b, s:o, s:o, s:I}", "version",
-        (json_int_t)daemon->inforce.acting, "rolled", *rolled, "missing",
-        missing, "doubt", list_doubt(steward), "moves",
-        (json_int_t)steward->moves);
+    json_t *root =
+        json_pack("{s:I, s:b, s:o, s:o, s:I}", "version",
+                  (json_int_t)daemon->inforce.acting, "rolled", *rolled,
+                  "missing", missing, "doubt", list_doubt(steward), "moves",
+                  (json_int_t)steward->moves);
     char *text = json_dumps(root, JSON_COMPACT);
 
     json_decref(root);
@@ -205,8 +204,7 @@
                         json_integer(steward->send_count));
     if (planner) {
         char *text = describe(steward, &rolled);
-        json_object_set_new(status, "progress",
-                            json_loads(text, 0, NULL));
+        json_object_set_new(status, "progress", json_loads(text, 0, NULL));
         free(text);
     }
 }
--- a/src/steward/sends.c
+++ b/src/steward/sends.c
@@ -19,9 +19,8 @@
 void
 BkSends_Add(BkSteward *steward, uint64_t fence, const char *engine)
 {
-    steward->sends =
-        BkMem_Grow(steward->sends, (size_t)steward->send_count + 1,
-                   sizeof(BkOwnSend));
+    steward->sends = BkMem_Grow(
+        steward->sends, (size_t)steward->send_count + 1, sizeof(BkOwnSend));
     steward->sends[steward->send_count++] =
         (BkOwnSend){.fence = fence,
                     .engine = BkStr_Dup(BkStr_FromC(engine)),
@@ -101,9 +100,8 @@
             return &steward->senders[i];
         }
     }
-    steward->senders =
-        BkMem_Grow(steward->senders, (size_t)steward->sender_count + 1,
-                   sizeof(BkSender));
+    steward->senders = BkMem_Grow(
+        steward->senders, (size_t)steward->sender_count + 1, sizeof(BkSender));
     BkSender *sender = &steward->senders[steward->sender_count++];
     *sender = (BkSender){.name = BkStr_Dup(BkStr_FromC(name)),
                          .epoch_at = BK_MS_NEVER};
@@ -146,8 +144,7 @@
             return BK_PROOF_CLOSED;
         }
     }
-    if (gone != BK_MS_NEVER &&
-        BkClock_Now() - gone >= steward->conf->vm_lag) {
+    if (gone != BK_MS_NEVER && BkClock_Now() - gone >= steward->conf->vm_lag) {
         *since = gone + steward->conf->vm_lag;
         return BK_PROOF_CLOSED;
     }
--- a/src/steward/steward.c
+++ b/src/steward/steward.c
@@ -90,20 +90,17 @@
 static void
 step_stop(BkSteward *steward, BkMs now)
 {
-    bool held = steward->lease.phase == BK_LEASE_HOLD;
-    bool told =
-        steward->quiet_term >= steward->was_term || steward->send_count > 0;
+    bool late = now >= steward->stop_by;
+    bool told = steward->was_term == 0 || steward->send_count > 0 ||
+                steward->quiet_term >= steward->was_term;
 
-    if (now >= steward->stop_by) {
-        BkDaemon_Finish(steward->daemon);
-    }
-    else if (orders_in_flight(steward) || steward->releasing) {
+    if (!late && (orders_in_flight(steward) || steward->releasing)) {
         return;
     }
-    else if (held && !steward->released) {
+    if (!late && steward->lease.phase == BK_LEASE_HOLD && !steward->released) {
         BkElection_Release(steward);
     }
-    else if (!steward->quieting && (told || steward->was_term == 0)) {
+    else if (late || (told && !steward->quieting)) {
         BkDaemon_Finish(steward->daemon);
     }
 }
--- a/tests/unit/test_ledger_model.c
+++ b/tests/unit/test_ledger_model.c
@@ -225,8 +225,8 @@
     const Judge *bench = arg;
     int sender = send->sender[0] == 'b';
     const Steward *steward = &bench->state->stewards[sender];
-    bool flying = in_flight(bench->state, sender, (int)send->epoch,
-                            (int)send->fence);
+    bool flying =
+        in_flight(bench->state, sender, (int)send->epoch, (int)send->fence);
 
     *since = 0;
     if (bench->guard == GUARD_NO_PIN) {
@@ -306,8 +306,8 @@
         return;
     }
     BkLedger *ledger = open_ledger(&state);
-    int entry = BkLedger_Reserve(ledger, &item, names[who], steward->epoch,
-                                 fence);
+    int entry =
+        BkLedger_Reserve(ledger, &item, names[who], steward->epoch, fence);
     if (entry >= 0) {
         write_load(search, state, who, ledger, entry, fence);
     }
@@ -350,8 +350,8 @@
         }
     }
     BkLedger_TakeState(ledger, &seen);
-    BkLedger_Settle(ledger, search->bounds.checked, steward->shown_fence, &proof, 0,
-                    1);
+    BkLedger_Settle(ledger, search->bounds.checked, steward->shown_fence,
+                    &proof, 0, 1);
     steward->mode = MODE_IDLE;
     steward->shown_insts = 0;
     steward->shown_fence = 0;
@@ -390,13 +390,9 @@
         if (state.msgs[i].used) {
             continue;
         }
-        state.msgs[i] = (Message){1,
-                                  (uint8_t)who,
-                                  steward->epoch,
-                                  steward->inst,
-                                  steward->fence,
-                                  0,
-                                  0};
+        state.msgs[i] = (Message){
+            1, (uint8_t)who, steward->epoch, steward->inst, steward->fence, 0,
+            0};
         steward->mode = MODE_AWAITING;
         steward->inst = 0;
         add_state(search, &state);
@@ -552,7 +548,7 @@
 {
     for (int i = 1; i <= MAX_INSTS; i++) {
         State next = *state;
-        next.insts &= (uint8_t)~(1 << i);
+        next.insts &= (uint8_t) ~(1 << i);
         if ((state->unloads & (1 << i)) != 0 && next.insts != state->insts) {
             add_state(search, &next);
         }
