--- a/src/steward/election.c
+++ b/src/steward/election.c
@@ -75,6 +75,9 @@
     rows.holder = get_text(term, "holder");
     rows.released = beat != NULL && get_text(beat, "holder")[0] == '\0' &&
                     get_number(beat, "term") == rows.term;
+    steward->claim_why = rows.term == 0  ? "there was no planner yet"
+                         : rows.released ? "the planner gave its term up"
+                                         : "the planner's lease had lapsed";
     BkLease_TookRead(&steward->lease, &rows, BkClock_Now());
     json_decref(term);
     json_decref(beat);
@@ -124,7 +127,7 @@
     BkSteward *steward = arg;
     const BkLease *lease = &steward->lease;
     const char *me = steward->conf->daemon.name;
-    BkAuditEntry entry = {"takeover", me, "the planner's lease had lapsed",
+    BkAuditEntry entry = {"takeover", me, steward->claim_why,
                           steward->daemon->inforce.acting};
 
     if (next->status != BK_OK && next->status != BK_ENOTFOUND) {
--- a/src/steward/engine.c
+++ b/src/steward/engine.c
@@ -297,16 +297,14 @@
         !BkSteward_MayOrder(engine->steward)) {
         return;
     }
+    bool load_reserved = engine->load != NULL && engine->dirty;
     if (engine->reread) {
         read_row(engine);
     }
-    else if (engine->load != NULL && engine->dirty) {
-        write_row(engine);
-    }
     else if (!engine->dirty && BkOrder_Start(engine, now)) {
         start_step(engine, BK_ENGINE_ORDER);
     }
-    else if (ask_due(engine, now)) {
+    else if (!load_reserved && ask_due(engine, now)) {
         ask_state(engine, now);
     }
     else if (engine->dirty) {
