route: estimate what all daemons send, and leave a margin

Changed: an own request in progress weighs 4 when copies are compared; the wait that admission looks at has the sends of all daemons since the report, from the own rate times their number, less what has finished, and 1.28 standard deviations of both.

--- a/bench/policy/entry.c
+++ b/bench/policy/entry.c
@@ -9,7 +9,8 @@
 #define OBS_BYTES 28
 #define RETRY_SHARE 0.1
 #define RETRY_MOST 50.0
-#define PEER_AGE ((BkMs)150) /* of what a peer tells */
+#define USUAL_LAG ((BkMs)200) /* of reports, as the settings say */
+#define PEER_AGE ((BkMs)150)  /* of what a peer tells */
 
 enum {
     MAX_ATTEMPTS = 4,
@@ -31,6 +32,8 @@
         .stale_after = STALE_AFTER,
         .service_time = (BkMs)(mean_work() * BK_MS_PER_S),
         .first_byte = 120 + 2 * w->dep->hop_way,
+        .report_lag = USUAL_LAG,
+        .senders = ENTRIES,
         .affinity_slack = 0.25,
         .admit_all = w->policy->admit_all,
     };
--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -29,6 +29,8 @@
     BkMs stale_after;      /* an observation older than this is not used */
     BkMs service_time;     /* estimate of one request on a free slot */
     BkMs first_byte;       /* from a free slot to the first byte of answer */
+    BkMs report_lag;       /* how late the upstreams' reports are */
+    int senders;           /* daemons that send to the same upstreams */
     double affinity_slack; /* how much fuller than the mean a copy may be
                               and still be chosen for its prefix */
     bool admit_all;        /* baseline: no refusal for lateness */
@@ -61,7 +63,8 @@
     BkMs retry_after;   /* when refused: when to come back */
 } BkRouteChoice;
 
-/* Expected wait for a slot of this upstream, from the corrected load. */
+/* Expected wait for a slot of this upstream, from the report and what this
+ * daemon has sent since; what others may have sent is left out. */
 BkMs BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up);
 
 BkRouteChoice BkRoute_Choose(BkRoute *route, const BkView *view,
--- a/src/route/index.c
+++ b/src/route/index.c
@@ -9,6 +9,7 @@
     uint32_t digest;
     int *items;
     int count;
+    IndexFlow flow;
 } IndexUp;
 
 struct BkRouteIndex {
@@ -167,6 +168,12 @@
     return &route->index->items[item];
 }
 
+IndexFlow *
+route_flow(const BkRoute *route, int up)
+{
+    return &route->index->ups[up].flow;
+}
+
 void
 BkRoute_Destroy(BkRoute *route)
 {
--- a/src/route/index.h
+++ b/src/route/index.h
@@ -20,6 +20,14 @@
     int cap;
 } IndexList;
 
+/* How fast this daemon sends to an upstream. */
+typedef struct IndexFlow {
+    double rate; /* requests a second, as of at */
+    BkMs at;
+} IndexFlow;
+
+IndexFlow *route_flow(const BkRoute *route, int up);
+
 /* The copies of an item; the index follows the view's generation. */
 const IndexList *route_copies(BkRoute *route, const BkView *view, int item);
 
--- /dev/null
+++ b/src/route/load.c
@@ -0,0 +1,114 @@
+#include "load.h"
+
+#include <math.h>
+
+#include "index.h"
+
+/* an own request in progress weighs more than a reported one, for it is
+ * known at once while the reports are late */
+#define OWN_WEIGHT 4.0
+
+/* of the own rate, for each sender: the more senders, the fewer requests an
+ * estimate of all is made from */
+#define RATE_MEMORY ((BkMs)250)
+
+#define MARGIN 1.28 /* standard deviations; one in ten is beyond */
+
+int
+route_slots(const BkView *view, int up)
+{
+    int slots = view->bundle->upstreams[up].slots;
+
+    return slots > 0 ? slots : 1;
+}
+
+double
+route_fullness(const BkView *view, int up)
+{
+    const BkUpView *seen = &view->ups[up];
+    double load = seen->running + seen->waiting;
+
+    return (load + OWN_WEIGHT * seen->own_running) / route_slots(view, up);
+}
+
+/* the report, plus what was sent since; never below what this daemon knows
+ * to be in progress */
+static int
+corrected_load(const BkUpView *seen)
+{
+    int load = seen->running + seen->waiting + seen->sent_since;
+
+    return load > seen->own_running ? load : seen->own_running;
+}
+
+static BkMs
+wait_for_slot(const BkRoute *route, double load, int slots)
+{
+    double ahead = load - slots + 1;
+    double each = (double)route->conf.service_time / slots;
+
+    return ahead <= 0 ? 0 : (BkMs)(ahead * each);
+}
+
+BkMs
+BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up)
+{
+    return wait_for_slot(route, corrected_load(&view->ups[up]),
+                         route_slots(view, up));
+}
+
+static double
+rate_memory(const BkRoute *route)
+{
+    int senders = route->conf.senders > 1 ? route->conf.senders : 1;
+
+    return (double)(senders * RATE_MEMORY) / BK_MS_PER_S;
+}
+
+static double
+own_rate(const BkRoute *route, int up, BkMs now)
+{
+    const IndexFlow *flow = route_flow(route, up);
+    double age = (double)(now - flow->at) / BK_MS_PER_S;
+
+    return flow->rate * exp(-age / rate_memory(route));
+}
+
+void
+route_note_send(BkRoute *route, int up, BkMs now)
+{
+    double rate = own_rate(route, up, now) + 1 / rate_memory(route);
+
+    *route_flow(route, up) = (IndexFlow){rate, now};
+}
+
+/* requests that finish in a span, in seconds, with so many in progress */
+static double
+finished_in(const BkRoute *route, const BkView *view, int up, double load,
+            double span)
+{
+    double running = fmin(load, route_slots(view, up));
+
+    if (route->conf.service_time <= 0) {
+        return 0;
+    }
+    return running * span * BK_MS_PER_S / (double)route->conf.service_time;
+}
+
+BkMs
+route_safe_wait(const BkRoute *route, const BkView *view, int up, BkMs now)
+{
+    const BkUpView *seen = &view->ups[up];
+    double known = corrected_load(seen);
+    double age =
+        (double)(now - seen->seen + route->conf.report_lag) / BK_MS_PER_S;
+    int others = route->conf.senders > 1 ? route->conf.senders - 1 : 0;
+    double sent = others * own_rate(route, up, now) * age;
+    double finished = finished_in(route, view, up, known, age);
+    double margin = MARGIN * sqrt(sent + finished + seen->sent_since);
+    double load = seen->running + seen->waiting + seen->sent_since + sent -
+                  finished + margin;
+
+    return wait_for_slot(route, fmax(load, seen->own_running),
+                         route_slots(view, up));
+}
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "index.h"
+#include "load.h"
 
 #define NO_COPY_RETRY ((BkMs)1000) /* when no copy can be used */
 #define LEAST_RETRY ((BkMs)50)
@@ -18,40 +19,6 @@
     int count;
 } Candidates;
 
-static int
-slots_of(const BkView *view, int up)
-{
-    int slots = view->bundle->upstreams[up].slots;
-
-    return slots > 0 ? slots : 1;
-}
-
-/* the report, plus what was sent since; never below what this daemon knows
- * to be in progress */
-static int
-corrected_load(const BkView *view, int up)
-{
-    const BkUpView *seen = &view->ups[up];
-    int load = seen->running + seen->waiting + seen->sent_since;
-
-    return load > seen->own_running ? load : seen->own_running;
-}
-
-static double
-fullness(const BkView *view, int up)
-{
-    return (double)corrected_load(view, up) / slots_of(view, up);
-}
-
-BkMs
-BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up)
-{
-    int slots = slots_of(view, up);
-    int ahead = corrected_load(view, up) - slots + 1;
-
-    return ahead <= 0 ? 0 : ahead * route->conf.service_time / slots;
-}
-
 static bool
 was_tried(const BkRouteQuery *query, int up)
 {
@@ -92,7 +59,8 @@
     uint32_t a = BkRng_Below(&route->rng, (uint32_t)c->count);
     uint32_t b = BkRng_Below(&route->rng, (uint32_t)c->count - 1);
     b += b >= a;
-    double fuller = fullness(view, c->ups[a]) - fullness(view, c->ups[b]);
+    double fuller =
+        route_fullness(view, c->ups[a]) - route_fullness(view, c->ups[b]);
     return fuller <= 0 ? c->ups[a] : c->ups[b];
 }
 
@@ -102,7 +70,7 @@
     double sum = 0;
 
     for (int i = 0; i < c->count; i++) {
-        sum += fullness(view, c->ups[i]);
+        sum += route_fullness(view, c->ups[i]);
     }
     return sum / c->count;
 }
@@ -122,8 +90,8 @@
         int up = c->ups[i];
         uint32_t key = view->bundle->upstreams[up].key;
         uint64_t score = XXH64(&key, sizeof(key), prefix);
-        double one_more = 1.0 / slots_of(view, up);
-        if (fullness(view, up) <= bound + one_more &&
+        double one_more = 1.0 / route_slots(view, up);
+        if (route_fullness(view, up) <= bound + one_more &&
             (best < 0 || score > best_score)) {
             best = up;
             best_score = score;
@@ -177,21 +145,19 @@
     return c->ups[0];
 }
 
-static int
-choose_shortest_wait(const BkRoute *route, const BkView *view,
-                     const Candidates *c)
+/* the copy with the shortest wait, into choice */
+static void
+find_shortest_wait(const BkRoute *route, const BkView *view,
+                   const Candidates *c, BkMs now, BkRouteChoice *choice)
 {
-    int best = c->ups[0];
-    BkMs least = BK_MS_NEVER;
-
+    choice->expected_wait = BK_MS_NEVER;
     for (int i = 0; i < c->count; i++) {
-        BkMs wait = BkRoute_ExpectedWait(route, view, c->ups[i]);
-        if (wait < least) {
-            least = wait;
-            best = c->ups[i];
+        BkMs wait = route_safe_wait(route, view, c->ups[i], now);
+        if (wait < choice->expected_wait) {
+            choice->expected_wait = wait;
+            choice->upstream = c->ups[i];
         }
     }
-    return best;
 }
 
 /* refuses what cannot be on time at any copy */
@@ -203,13 +169,11 @@
 
     choice->status = BK_OK;
     choice->expected_wait =
-        BkRoute_ExpectedWait(route, view, choice->upstream);
+        route_safe_wait(route, view, choice->upstream, now);
     if (route->conf.admit_all || choice->expected_wait <= left) {
         return;
     }
-    choice->upstream = choose_shortest_wait(route, view, c);
-    choice->expected_wait =
-        BkRoute_ExpectedWait(route, view, choice->upstream);
+    find_shortest_wait(route, view, c, now, choice);
     if (choice->expected_wait <= left) {
         return;
     }
@@ -239,6 +203,9 @@
     }
     choice.upstream = choose_by_policy(route, view, &candidates, query);
     admit(route, view, &candidates, query, now, &choice);
+    if (choice.status == BK_OK) {
+        route_note_send(route, choice.upstream, now);
+    }
     return choice;
 }
 
