--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -98,7 +98,7 @@
     case 201:
         return BK_OK;
     case 404:
-        return BK_ENOTFOUND;
+        return write ? BK_EUNKNOWN : BK_ENOTFOUND;
     case 409:
         return kind == CALL_COMMIT ? BK_ECONFLICT : BK_EPLATFORM;
     case 400:
