--- a/src/daemon/hello.c
+++ b/src/daemon/hello.c
@@ -107,8 +107,12 @@
     hello.role = daemon->role;
     hello.epoch = daemon->epoch;
     hello.acting = daemon->inforce.acting;
-    memcpy(hello.digest, daemon->inforce.digest, BK_DIGEST_BYTES);
-    hello.current = BkInForce_Current(&daemon->inforce, now);
+    if (daemon->bundle != NULL) {
+        memcpy(hello.digest, daemon->bundle->digest, BK_DIGEST_BYTES);
+    }
+    /* who has heard of a higher version vouches for none */
+    hello.current = BkInForce_Current(&daemon->inforce, now) &&
+                    daemon->inforce.acting == daemon->inforce.highest;
     hello.stopping = daemon->stopping;
     hello.term = daemon->term;
     hello.planner = daemon->planner;
