--- a/tests/proof/case_config.py
+++ b/tests/proof/case_config.py
@@ -1,10 +1,11 @@
 """An accepted configuration is in force everywhere and never reverts."""
 import json
+import os
 import re
-import signal
 import threading
 
 from basics import POLL_S, case, check, request, together, wait
+from harness import Relay
 
 CUT_OFF = "2s"  # cut_off_after of the daemons here
 AFTER_CUT_OFF_S = 2.5
@@ -134,27 +135,79 @@
 
 
 @case
-def config_stale_peer(world):
-    """A peer that slept through two rolls brings nobody back, not even a
-    daemon that starts while the platform is out and asks the sleeper."""
-    doors = serve(world)
-    sleeper, starter, other = world.rng.sample(doors, 3)
-    sleeper.freeze()
-    for token in ("second", "new"):
+def config_cut_on_one_side(world):
+    """One daemon reaches no peer, another one never the platform, and bkctl
+    tells neither: each learns the version on the side that it has left."""
+    doors = serve(world, entries=2)
+    wall = Relay(world.platform.addr)
+    wall.cut(b"", up=0, times=1 << 30)
+    walled = world.entry("entry-walled", platform_address=wall.addr)
+    lonely = world.entry("entry-lonely", daemon_peers="")
+    world.await_ready(lonely, walled)
+    everybody, world.daemons = world.daemons, doors
+    for token in ("new", "newer"):
         replace_caller(world, token)
         world.roll()
+        await_known([*doors, lonely, walled], token)
+    world.daemons = everybody
+    check(wall.cuts > 0, "the platform was not cut off")
+    check(not lonely.status()["peers"], "the lonely one has peers")
+
+
+@case
+def config_late_push(world):
+    """News of an older roll that arrives late, or of no roll at all,
+    changes nothing: versions only rise, and a signature is over its text."""
+    doors = serve(world)
+    held = json.loads(request(doors[0].ops, "GET", "/peer/in-force")[2])
+    with open(os.path.join(world.dir, "bundle.ini")) as file:
+        held["text"] = file.read()
+    replace_caller(world, "new")
+    world.roll()
+    await_known(doors, "new")
+    other = {**held, "version": 3, "text": held["text"] + "# other\n"}
+    forged = {**held, "version": 3, "signature": "0" * 128}
+    watch = Watch(doors, "old")
+    for door in doors:
+        for news in (held, other, forged, {"version": 4}):
+            request(door.ops, "POST", "/peer/in-force", json.dumps(news))
+    threading.Event().wait(GOSSIP_ROUNDS_S)
+    for door in doors:
+        check(door.status()["acting"] == 2, "%s took old news", door.name)
+    watch.end()
+
+
+@case
+def config_stale_peer(world):
+    """A peer that stays behind, since it does not know the new signer,
+    brings nobody back: not those who act on the new version, and not one
+    that starts while the platform is out and finds the stale peer first."""
+    settings = {"daemon_cut_off_after": "20s"}
+    first = world.signer
+    second = world.ctl("key", "new", "key-2", config=False).split()[-1]
+    world.signer = first + " " + second
+    starter, other = serve(world, entries=2, **settings)
+    stale = world.entry("entry-stale", daemon_signers=first, **settings)
+    world.await_ready(stale)
+    os.replace(os.path.join(world.dir, "key-2"),
+               os.path.join(world.dir, "key"))
+    replace_caller(world, "new")
+    world.roll()
     await_known([starter, other], "new")
+    wait("the stale peer hears", lambda: stale.status()["highest"] == 2)
+    check(knows(stale, "old"), "the stale peer does not serve its part")
     world.platform.set(outage=True)
-    # longer than the sleeper may rely on what it knew
-    threading.Event().wait(AFTER_CUT_OFF_S)
+    watch = Watch([starter, other], "old")
+    other.freeze()
     starter.kill()
-    doors = [sleeper, world.restart(starter), other]
-    watch = Watch(doors[1:], "old")
-    sleeper.thaw()
-    world.await_ready(*doors)
-    await_known(doors, "new")
+    starter = watch.doors[0] = world.restart(starter)
+    wait("the start", starter.status)
+    threading.Event().wait(GOSSIP_ROUNDS_S)
+    check(not starter.ready(), "ready on the word of a stale peer")
+    other.thaw()
+    world.await_ready(starter)
+    await_known([starter, other], "new")
     watch.end()
-    check(not knows(sleeper, "old"), "the sleeper still acts on version 1")
 
 
 @case
