ctl: name the row that cannot be read, and the line of a bad list

status and handover said that the platform did not answer when a row was not understood; they now show what was read and say which row it was. BkSettings_Fail gives faults in combinations of settings their line.

--- a/include/bk/base/settings.h
+++ b/include/bk/base/settings.h
@@ -54,6 +54,15 @@
 BkStatus BkSettings_Load(const char *path, const BkSettingSpec *specs,
                          int count, void *target);
 
+/*
+ * The form of a fault that a program finds in a combination of settings:
+ * "path:line: [section] key: ..."; the line is looked up in the file, and
+ * left out if the key is not given there. Gives BK_ECONFIG.
+ */
+BkStatus BkSettings_Fail(const char *path, const char *section,
+                         const char *key, const char *fmt, ...)
+    __attribute__((format(printf, 4, 5)));
+
 /* Frees the text fields. */
 void BkSettings_Destroy(const BkSettingSpec *specs, int count, void *target);
 
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,5 +1,6 @@
 #include "bk/base/settings.h"
 
+#include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,7 +11,8 @@
 enum {
     MAX_SPECS = 128,
     REAL_SCALE = 1000,
-    MAX_FILE_BYTES = 256 * 1024
+    MAX_FILE_BYTES = 256 * 1024,
+    MAX_WHY = 400
 };
 
 typedef struct Unit {
@@ -358,6 +360,48 @@
     return status != BK_OK ? status : apply_fallbacks(&load);
 }
 
+typedef struct Lookup {
+    const char *section;
+    const char *key;
+    int line; /* 0: not found */
+} Lookup;
+
+static BkStatus
+find_line(const BkIniKey *key, void *arg)
+{
+    Lookup *lookup = arg;
+
+    if (lookup->line == 0 && strcmp(key->section, lookup->section) == 0 &&
+        strcmp(key->key, lookup->key) == 0) {
+        lookup->line = key->line;
+    }
+    return BK_OK;
+}
+
+BkStatus
+BkSettings_Fail(const char *path, const char *section, const char *key,
+                const char *fmt, ...)
+{
+    char why[MAX_WHY];
+    Lookup lookup = {section, key, 0};
+    BkBuf text = BkBuf_Make(0);
+    va_list args;
+
+    va_start(args, fmt);
+    vsnprintf(why, sizeof(why), fmt, args);
+    va_end(args);
+    if (BkFile_Read(path, MAX_FILE_BYTES, &text) == BK_OK) {
+        BkIni_Parse(path, BkBuf_Str(&text), BK_ECONFIG, find_line, &lookup);
+    }
+    BkBuf_Destroy(&text);
+    if (lookup.line == 0) {
+        return BkErr_Set(BK_ECONFIG, "%s: [%s] %s: %s", path, section, key,
+                         why);
+    }
+    return BkErr_Set(BK_ECONFIG, "%s:%d: [%s] %s: %s", path, lookup.line,
+                     section, key, why);
+}
+
 void
 BkSettings_Destroy(const BkSettingSpec *specs, int count, void *target)
 {
--- a/src/ctl/fleet.c
+++ b/src/ctl/fleet.c
@@ -1,6 +1,7 @@
 #include "fleet.h"
 
 #include <jansson.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -255,6 +256,9 @@
 {
     *fleet = (BkFleet){0};
     fleet->platform = read_rows(ctl, audit, fleet);
+    if (fleet->platform != BK_OK) {
+        snprintf(fleet->why, sizeof(fleet->why), "%s", BkErr_Last());
+    }
     BkCtl_AskStatus(ctl, &fleet->daemons);
     merge_upstreams(fleet);
 }
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -46,8 +46,14 @@
     int count;
 } BkDrainList;
 
+enum {
+    BK_CTL_WHY = 256 /* bytes of a reason */
+};
+
 typedef struct BkFleet {
-    BkStatus platform; /* BK_OK: the rows below are what it said just now */
+    BkStatus platform;    /* BK_OK: the rows below are all that it has; else
+                          those that are not zero were read */
+    char why[BK_CTL_WHY]; /* what failed if it is not BK_OK */
     BkInForceRow in_force;
     BkProgressRow progress;
     BkTermRow term;
--- a/src/ctl/handover.c
+++ b/src/ctl/handover.c
@@ -36,8 +36,10 @@
     uint64_t version = fleet->in_force.version;
 
     if (fleet->platform != BK_OK) {
-        add_watch(watch, "the platform does not answer: no roll, no drain "
-                         "and no call that may not be repeated until it does");
+        add_watch(watch,
+                  "%s: no roll, no drain and no call that may not be "
+                  "repeated until it does",
+                  fleet->why);
         return;
     }
     if (version == 0) {
@@ -116,8 +118,7 @@
 {
     if (fleet->platform != BK_OK) {
         snprintf(out, size,
-                 "bkctl handover (again, once the platform "
-                 "answers)");
+                 "bkctl handover (again, once all rows can be read)");
         return;
     }
     snprintf(out, size,
@@ -173,7 +174,7 @@
         print_page(&fleet, watch, next);
     }
     json_decref(watch);
-    BkStatus status = BkCtl_FleetStatus(ctl, &fleet);
+    BkStatus status = BkCtl_FleetStatus(&fleet);
     BkFleet_Clear(&fleet);
     return status;
 }
--- a/src/ctl/rows.c
+++ b/src/ctl/rows.c
@@ -316,6 +316,9 @@
     if (status == BK_OK) {
         status = BkInForceRow_Decode(out, &row);
     }
+    if (status != BK_OK) {
+        BkInForceRow_Clear(out);
+    }
     BkCtlRow_Clear(&row);
     return status;
 }
@@ -331,6 +334,9 @@
     if (status == BK_OK) {
         status = BkDrainRow_Decode(out, &row);
     }
+    if (status != BK_OK) {
+        BkDrainRow_Clear(out);
+    }
     BkCtlRow_Clear(&row);
     return status;
 }
@@ -346,6 +352,9 @@
     if (status == BK_OK) {
         status = BkProgressRow_Decode(out, &row);
     }
+    if (status != BK_OK) {
+        BkProgressRow_Clear(out);
+    }
     BkCtlRow_Clear(&row);
     return status;
 }
@@ -360,6 +369,9 @@
     if (status == BK_OK) {
         status = BkTermRow_Decode(out, &row);
     }
+    if (status != BK_OK) {
+        BkTermRow_Clear(out);
+    }
     BkCtlRow_Clear(&row);
     return status;
 }
--- a/src/ctl/settings.c
+++ b/src/ctl/settings.c
@@ -37,13 +37,6 @@
     CTL_SPECS = sizeof(ctl_specs) / sizeof(ctl_specs[0])
 };
 
-static BkStatus
-fail_setting(const char *path, const char *key, BkStr word, const char *why)
-{
-    return BkErr_Set(BK_ECONFIG, "%s: [ctl] %s: \"%.*s\" %s", path, key,
-                     BK_STR_ARG(word), why);
-}
-
 static BkStatus
 check_lists(const char *path, const BkCtlConf *conf)
 {
@@ -54,15 +47,19 @@
     while (daemons.len > 0) {
         BkStr addr = BkStr_Split(&daemons, ' ');
         if (addr.len > 0 && BkSettings_ParseAddr(addr) != BK_OK) {
-            return fail_setting(path, "daemons", addr,
-                                "is not a numeric address like 10.0.0.1:8081");
+            return BkSettings_Fail(path, "ctl", "daemons",
+                                   "\"%.*s\" is not a numeric address like "
+                                   "10.0.0.1:8081",
+                                   BK_STR_ARG(addr));
         }
     }
     while (signers.len > 0) {
         BkStr signer = BkStr_Split(&signers, ' ');
         if (signer.len > 0 && BkDigest_Parse(signer, key) != BK_OK) {
-            return fail_setting(path, "signers", signer,
-                                "is not a public key of 64 hex digits");
+            return BkSettings_Fail(path, "ctl", "signers",
+                                   "\"%.*s\" is not a public key of 64 hex "
+                                   "digits",
+                                   BK_STR_ARG(signer));
         }
     }
     return BK_OK;
--- a/src/ctl/show.h
+++ b/src/ctl/show.h
@@ -20,6 +20,6 @@
 json_t *BkCtl_AuditJson(const BkAuditList *audit);
 
 /* The status of a page: an error if the platform could not be read. */
-BkStatus BkCtl_FleetStatus(const BkCtl *ctl, const BkFleet *fleet);
+BkStatus BkCtl_FleetStatus(const BkFleet *fleet);
 
 #endif
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -12,10 +12,10 @@
     const BkInForceRow *row = &fleet->in_force;
     char span[BK_CTL_SPAN];
 
-    if (fleet->platform != BK_OK) {
-        printf("bundle     the platform does not answer; the highest version "
-               "that a daemon acts on is %" PRIu64 "  [daemons]\n",
-               BkDaemonList_HighestActing(&fleet->daemons));
+    if (fleet->platform != BK_OK && row->version == 0) {
+        printf("bundle     %s; the highest version that a daemon acts on is "
+               "%" PRIu64 "  [daemons]\n",
+               fleet->why, BkDaemonList_HighestActing(&fleet->daemons));
         return;
     }
     if (row->version == 0) {
@@ -34,7 +34,7 @@
 {
     const BkProgressRow *progress = &fleet->progress;
 
-    if (fleet->platform != BK_OK) {
+    if (fleet->platform != BK_OK && progress->row_version == 0) {
         return;
     }
     if (progress->row_version == 0) {
@@ -59,7 +59,7 @@
 static void
 print_planner(const BkFleet *fleet)
 {
-    if (fleet->platform == BK_OK && fleet->term.row_version != 0) {
+    if (fleet->term.row_version != 0) {
         printf("planner    %s, term %" PRIu64 "  [row planner/term]\n",
                fleet->term.holder, fleet->term.term);
     }
@@ -241,7 +241,7 @@
                            (json_int_t)row->age);
     }
     return json_pack(
-        "{s:b, s:o, s:o, s:I, s:s, s:o, s:i, s:o, s:o}", "platform_answers",
+        "{s:b, s:o, s:o, s:I, s:s, s:o, s:i, s:o, s:o}", "whole",
         fleet->platform == BK_OK, "bundle", bundle, "roll",
         progress_json(&fleet->progress), "term", (json_int_t)fleet->term.term,
         "planner", fleet->term.holder == NULL ? "" : fleet->term.holder,
@@ -252,15 +252,12 @@
 
 /* a page without the platform's part is shown, but is no success */
 BkStatus
-BkCtl_FleetStatus(const BkCtl *ctl, const BkFleet *fleet)
+BkCtl_FleetStatus(const BkFleet *fleet)
 {
     if (fleet->platform == BK_OK) {
         return BK_OK;
     }
-    return BkErr_Set(fleet->platform,
-                     "the platform at %s could not be read; the page is not "
-                     "whole",
-                     ctl->conf.platform);
+    return BkErr_Set(fleet->platform, "%s; the page is not whole", fleet->why);
 }
 
 BkStatus
@@ -281,7 +278,7 @@
         print_upstreams(&fleet);
         BkCtl_PrintDrains(&fleet);
     }
-    BkStatus status = BkCtl_FleetStatus(ctl, &fleet);
+    BkStatus status = BkCtl_FleetStatus(&fleet);
     BkFleet_Clear(&fleet);
     return status;
 }
