route: a finished request is no load any more

Cause: the corrected load counted every request sent since the last report, also those that had finished since. Now a finished one is taken off again; one sent before the report brings the count below zero, which corrects the report itself.

--- a/src/route/route.c
+++ b/src/route/route.c
@@ -254,6 +254,7 @@
 {
     if (view->ups[up].own_running > 0) {
         view->ups[up].own_running--;
+        view->ups[up].sent_since--;
     }
 }
 
