--- a/src/daemon/args.c
+++ b/src/daemon/args.c
@@ -37,7 +37,7 @@
          100, "upstreams polled a second"),
     SPEC("daemon", "stale_after", BK_SET_MS, stale_after, "10s", 500, 120000,
          "age at which an observation is not used"),
-    SPEC("daemon", "cut_off_after", BK_SET_MS, cut_off_after, "10s", 500,
+    SPEC("daemon", "cut_off_after", BK_SET_MS, cut_off_after, "5s", 500,
          600000, "silence of platform and peers until not ready"),
     SPEC("daemon", "balancer_wait", BK_SET_MS, balancer_wait, "5s", 0, 120000,
          "at a planned stop, until the balancer has noticed"),
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -15,6 +15,7 @@
 import socket
 import subprocess
 import tempfile
+import textwrap
 import threading
 
 from basics import LIMIT_S, check, request, wait
@@ -225,7 +226,9 @@
             for section, keys in sections:
                 file.write("[%s]\n" % section)
                 for key, value in keys.items():
-                    file.write("%s = %s\n" % (key, value))
+                    # a long list goes on in indented lines
+                    words = "\n    ".join(textwrap.wrap(str(value), 150))
+                    file.write("%s = %s\n" % (key, words))
         return path
 
     def ctl(self, *words, config=True, fails=False):
@@ -307,9 +310,9 @@
                          "poll_bundle": "200ms", "poll_vms": "200ms"},
             section: {"listen": listen} if section == "entry" else {}}
         for key, value in settings.items():
-            for part in (section, "daemon", "platform"):
+            for part in (section, "daemon", "platform", "place"):
                 if key.startswith(part + "_"):
-                    sections[part][key[len(part) + 1:]] = value
+                    sections.setdefault(part, {})[key[len(part) + 1:]] = value
                     break
             else:
                 sections[section][key] = value
