base: take at most 16 events in a round of the loop

What a round's first event brings was sent on only after the whole burst had been read: libmicrohttpd runs after the round.

--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -13,7 +13,9 @@
 #include "bk/base/str.h"
 
 enum {
-    POLLSET_SIZE = 4096,
+    /* of any number of descriptors; few, so that what one event brings is
+       sent on before the last of a burst is read */
+    EVENTS_PER_ROUND = 16,
     MAX_HOOKS = 8,
     US_PER_MS = 1000
 };
@@ -66,7 +68,7 @@
     apr_initialize();
     apr_pool_create(&loop->pool, NULL);
     apr_status_t rv =
-        apr_pollset_create(&loop->pollset, POLLSET_SIZE, loop->pool, 0);
+        apr_pollset_create(&loop->pollset, EVENTS_PER_ROUND, loop->pool, 0);
     if (rv != APR_SUCCESS) {
         abort();
     }
