entry: do not cancel an attempt that is made again at the same upstream

Cause: an exchange cut before its head was given up on with a DELETE by request id, then made again at the only copy under the same id; a DELETE that landed late ended the second attempt, and its caller got "outcome unknown". Ruled out: the retry budget (it begins at its most).

--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -76,7 +76,8 @@
     uint32_t up_key;       /* of the present or last attempt */
     uint32_t up_boot;
     char up_addr[64];
-    bool on_upstream; /* counted by BkRoute_Sent */
+    char useless_addr[64]; /* upstream whose work is to be cancelled */
+    bool on_upstream;      /* counted by BkRoute_Sent */
     BkMs sent_at;
     BkHttpCall *call;
     int code;
@@ -115,6 +116,9 @@
 /* Starts an attempt at this upstream, an index of the present bundle. */
 void BkAttempt_Start(BkRelay *relay, int up);
 
+/* Cancels what was given up on, unless the next attempt goes there. */
+void BkAttempt_CancelUseless(BkRelay *relay, const char *next_addr);
+
 /* Asks the same upstream to go on with the stream. */
 void BkRelay_Resume(BkRelay *relay);
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -240,6 +240,17 @@
     start_call(relay, up, "GET", target, (BkStr){NULL, 0});
 }
 
+void
+BkAttempt_CancelUseless(BkRelay *relay, const char *next_addr)
+{
+    if (relay->useless_addr[0] != '\0' &&
+        strcmp(relay->useless_addr, next_addr) != 0) {
+        BkCancel_Schedule(relay->entry, relay->request, relay->useless_addr,
+                          0);
+    }
+    relay->useless_addr[0] = '\0';
+}
+
 void
 BkAttempt_Start(BkRelay *relay, int up)
 {
@@ -250,6 +261,7 @@
     relay->attempt++;
     relay->tries++;
     enter_upstream(relay, up);
+    BkAttempt_CancelUseless(relay, relay->up_addr);
     if (relay->resuming) {
         start_get(relay, up);
         return;
@@ -308,8 +320,9 @@
     note_tried(relay, relay->up_key);
     relay->all_gone = relay->all_gone && relay->code == HTTP_NOT_FOUND;
     if (!not_run && !relay->service && !relay->from_ticket) {
-        /* what it still does for this request is of no use */
-        BkCancel_Schedule(relay->entry, relay->request, relay->up_addr, 0);
+        /* what it still does is of no use, unless it is tried again: then
+           the cancel would hit the new attempt under the same name */
+        memcpy(relay->useless_addr, relay->up_addr, sizeof(relay->up_addr));
     }
     BkRelay_Send(relay);
 }
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -152,6 +152,7 @@
         BkEntryCounters_NoteOutcome(status);
     }
     relay->answered = true;
+    BkAttempt_CancelUseless(relay, "");
     BkTimer_Stop(relay->timer);
 }
 
--- a/tests/proof/case_answers.py
+++ b/tests/proof/case_answers.py
@@ -64,6 +64,20 @@
     check(relay.cuts > 0, "no cut was brought about")
 
 
+@case
+def only_copy_tried_again(world):
+    """An exchange cut before its head is made again at the only copy: the
+    relay cancels the first one only if the next goes elsewhere, since a
+    cancel that lands late would end the second one."""
+    engines, (door,), caller = serve(world, copies=1, entries=1, relay=True,
+                                     first_ms=40, token_ms=2)
+    engines[0].faults({"on": "resume", "do": "delay", "ms": 20})
+    text = prompt(world)
+    engines[0].relay.cut(b"POST /v1/completions", down=1)
+    answer = caller.complete(door, "care", text, TOKENS, stream=True)
+    answer_whole(answer, "care", text, TOKENS)
+
+
 @case
 def whole_answer_cut_at_any_byte(world):
     """A whole answer cut at any byte is never handed on as if complete: the
