route: try an upstream whose poll failed when nothing better is left

A failed contact is no proof, and a connection that is refused has not run, so such a copy is now the last choice.

--- a/include/bk/view/view.h
+++ b/include/bk/view/view.h
@@ -107,4 +107,8 @@
  * leaving, not left. */
 bool BkView_Usable(const BkView *view, int up, BkMs now, BkMs stale_after);
 
+/* Would be usable but for a failed contact since it was seen: one lost poll
+ * is no proof, so it is worth a try when nothing better is left. */
+bool BkView_Suspect(const BkView *view, int up, BkMs now, BkMs stale_after);
+
 #endif
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -30,11 +30,25 @@
     return false;
 }
 
+/* in the order in which copies are taken into account */
+typedef struct Tier {
+    bool wanted;  /* the version that the bundle wants */
+    bool suspect; /* a contact failed since it was seen */
+} Tier;
+
+static const Tier tiers[] = {
+    {true, false}, {false, false}, {true, true}, {false, true}};
+
+enum {
+    TIERS = sizeof(tiers) / sizeof(tiers[0])
+};
+
 /* starts at a random copy, so that a long list is not cut at one end */
 static void
 collect(BkRoute *route, const BkView *view, const BkRouteQuery *query,
-        const IndexList *list, bool wanted, BkMs now, Candidates *out)
+        const IndexList *list, const Tier *tier, BkMs now, Candidates *out)
 {
+    BkMs stale = route->conf.stale_after;
     int start = 0;
 
     out->count = 0;
@@ -43,8 +57,10 @@
     }
     for (int i = 0; i < list->count && out->count < MAX_COPIES; i++) {
         const IndexCopy *copy = &list->copies[(start + i) % list->count];
-        if (copy->wanted == wanted && !was_tried(query, copy->up) &&
-            BkView_Usable(view, copy->up, now, route->conf.stale_after)) {
+        bool fits = tier->suspect ? BkView_Suspect(view, copy->up, now, stale)
+                                  : BkView_Usable(view, copy->up, now, stale);
+        if (copy->wanted == tier->wanted && fits &&
+            !was_tried(query, copy->up)) {
             out->ups[out->count++] = copy->up;
         }
     }
@@ -189,11 +205,10 @@
 {
     BkRouteChoice choice = {.status = BK_ENOTREADY, .upstream = -1};
     const IndexList *list = route_copies(route, view, query->item);
-    Candidates candidates;
+    Candidates candidates = {.count = 0};
 
-    collect(route, view, query, list, true, now, &candidates);
-    if (candidates.count == 0) {
-        collect(route, view, query, list, false, now, &candidates);
+    for (int i = 0; i < TIERS && candidates.count == 0; i++) {
+        collect(route, view, query, list, &tiers[i], now, &candidates);
     }
     if (candidates.count == 0) {
         choice.retry_after = NO_COPY_RETRY;
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -269,16 +269,27 @@
     return other;
 }
 
-bool
-BkView_Usable(const BkView *view, int up, BkMs now, BkMs stale_after)
+static bool
+seen_lately(const BkUpView *seen, BkMs now, BkMs stale_after)
 {
-    const BkUpView *seen = &view->ups[up];
-
     if (seen->leaving || seen->left || seen->seen == BK_MS_NEVER) {
         return false;
     }
-    if (seen->failed != BK_MS_NEVER) {
-        return false;
-    }
     return now - seen->seen <= stale_after;
 }
+
+bool
+BkView_Usable(const BkView *view, int up, BkMs now, BkMs stale_after)
+{
+    const BkUpView *seen = &view->ups[up];
+
+    return seen->failed == BK_MS_NEVER && seen_lately(seen, now, stale_after);
+}
+
+bool
+BkView_Suspect(const BkView *view, int up, BkMs now, BkMs stale_after)
+{
+    const BkUpView *seen = &view->ups[up];
+
+    return seen->failed != BK_MS_NEVER && seen_lately(seen, now, stale_after);
+}
