--- a/bench/slopes/report.py
+++ b/bench/slopes/report.py
@@ -14,11 +14,18 @@
 )
 BASE = {"daemons": 8, "replicas": 16, "models": 40}
 KNEE = 48  # from here on a message to a peer is full of observations
+# copies: of all models, adapters and versions together
 PLACES = {
-    "Varanda": {"daemons": 16, "replicas": 16, "models": 92},
-    "Kadonneet": {"daemons": 16, "replicas": 21, "models": 128},
-    "target": {"daemons": 410, "replicas": 600, "models": 600},
+    "Varanda": {"daemons": 16, "replicas": 16, "models": 92, "copies": 120},
+    "Kadonneet": {"daemons": 16, "replicas": 21, "models": 128,
+                  "copies": 160},
+    "target": {"daemons": 410, "replicas": 600, "models": 600,
+               "copies": 1200},
 }
+# A state grows with the copies on one replica, memory and the planner's work
+# with the models themselves.
+BY_MODELS = (("memory_mib", "entry"), ("memory_mib", "steward"),
+             ("memory_mib", "planner"), ("cpu_percent", "planner"))
 PLATFORM_READS = 2000
 PLATFORM_WRITES = 300  # "several hundred"
 TARGET_REQUESTS = 1100
@@ -79,6 +86,10 @@
         for dimension in ("daemons", "models"):
             line = self.fit(dimension, role, name)
             far = place[dimension] - BASE[dimension]
+            if dimension == "models" and (name, role) not in BY_MODELS:
+                # as many models as would put these copies on each replica
+                copies = place["copies"] / place["replicas"]
+                far = copies * BASE["replicas"] - BASE["models"]
             value += line.b * far
             error += line.error * abs(far)
         return max(value, 0.0), error
