place: tell a rise of demand from chance; take work as measured

Cause (trace of bursts at Varanda): the planner held 360 slots in use where the replicas ran 60 to 100, so no target looked free and a burst of 42 slots stayed on its two copies. A rate that rises at once and falls slowly sits at the peaks of a Poisson count, three times too high for rare items. Now a fast and a slow average; the slow one jumps when the fast is three deviations above.

--- a/bench/policy/entry.c
+++ b/bench/policy/entry.c
@@ -7,6 +7,7 @@
 #define GOSSIP_PEERS 2
 #define GOSSIP_HEAD 64 /* bytes of a datagram besides observations */
 #define OBS_BYTES 28
+#define WORK_WEIGHT 0.02 /* of the newest request */
 #define RETRY_SHARE 0.1
 #define RETRY_MOST 50.0
 #define USUAL_LAG ((BkMs)200) /* of reports, as the settings say */
@@ -189,6 +190,15 @@
     dispatch(w, index);
 }
 
+/* as the entries tell the planner: the slot time of an item, smoothed */
+static void
+note_work(World *w, int item, BkMs busy)
+{
+    double *work = &w->planner.demand[item].work;
+
+    *work += ((double)busy / BK_MS_PER_S - *work) * WORK_WEIGHT;
+}
+
 void
 entry_done(World *w, int up, int index, BkMs at)
 {
@@ -200,6 +210,7 @@
     bool tokens_good = req->per_token <= TOKEN_LIMIT && !req->gap;
 
     BkRoute_Finished(e->view, up);
+    note_work(w, a->item, at - req->started);
     req->answers++;
     w->score.admitted++;
     w->score.first_in_time += first_good;
--- a/bench/policy/planner.c
+++ b/bench/policy/planner.c
@@ -151,6 +151,7 @@
     }
     for (int i = 0; i < bundle->item_count; i++) {
         p->demand[i].rate = w->trace->rate * w->trace->weight[i];
+        p->demand[i].fast = p->demand[i].rate;
         p->demand[i].work = mean_work();
     }
     warm_up(w);
--- a/bench/policy/replica.c
+++ b/bench/policy/replica.c
@@ -113,6 +113,7 @@
         req->per_token = per_token;
     }
     req->runs++;
+    req->started = at;
     if (req->first == BK_MS_NEVER) {
         req->first = first + w->dep->hop_way + w->dep->client_way;
     }
--- a/bench/policy/world.h
+++ b/bench/policy/world.h
@@ -104,8 +104,9 @@
     ReqState state;
     BkMs first; /* token at the caller; BK_MS_NEVER: not yet */
     BkMs per_token;
-    bool gap; /* resumed elsewhere after its first token */
-    int runs; /* starts at an upstream */
+    BkMs started; /* in its slot */
+    bool gap;     /* resumed elsewhere after its first token */
+    int runs;     /* starts at an upstream */
     int answers;
     BkRouteQuery query;
 } Req;
--- a/include/bk/place/place.h
+++ b/include/bk/place/place.h
@@ -29,8 +29,8 @@
     double attainment_weight; /* worth of an answer on time */
     double move_weight;       /* price of a load or unload */
     BkMs horizon;             /* over which a gain is counted */
-    double rise;              /* smoothing of demand upwards, per second */
-    double fall;              /* and downwards: slower */
+    double rise;              /* smoothing of the fast rate, per second */
+    double fall;              /* and of the slow one */
     int loads_per_second;     /* of the weight store */
     int loads_at_once;
     double target_use; /* share of a copy's capacity to plan for */
@@ -38,7 +38,9 @@
 
 /* Smoothed demand of one item. */
 typedef struct BkDemand {
-    double rate; /* requests a second, smoothed */
+    double rate; /* requests a second: up at once when the rise is more than
+                    chance, down slowly */
+    double fast; /* the same, smoothed over a short time only */
     double work; /* seconds of a slot that one request takes */
     BkMs last_request;
 } BkDemand;
--- a/src/place/demand.c
+++ b/src/place/demand.c
@@ -3,10 +3,24 @@
 #include <math.h>
 #include <stdlib.h>
 
+#define SHARE_STEP 0.5
+#define FLAT 0.05 /* below this use, copies are as good as each other */
+#define RISE_DEVIATIONS 3.0
+#define LEAST_RATE 0.25 /* requests a second that count as chance */
+
 enum {
     SHARE_ROUNDS = 6 /* enough for the split to settle */
 };
 
+static double
+smooth(double value, double sample, double speed, double seconds)
+{
+    return value + (sample - value) * (1 - exp(-speed * seconds));
+}
+
+/* Requests come by chance, so the fast rate swings about the true one; only
+ * what is beyond that swing is a rise. A rate that followed each swing up
+ * and fell slowly would stay at the peaks. */
 void
 BkDemand_Take(BkDemand *demand, const BkPlaceConf *conf, double requests,
               BkMs dt, BkMs now)
@@ -18,19 +32,23 @@
         return;
     }
     double seconds = (double)dt / BK_MS_PER_S;
-    double rate = requests / seconds;
-    double speed = rate > demand->rate ? conf->rise : conf->fall;
-    demand->rate += (rate - demand->rate) * (1 - exp(-speed * seconds));
+    double sample = requests / seconds;
+    demand->fast = smooth(demand->fast, sample, conf->rise, seconds);
+    demand->rate = smooth(demand->rate, sample, conf->fall, seconds);
+    double swing = sqrt(fmax(demand->rate, LEAST_RATE) * conf->rise / 2);
+    if (demand->fast > demand->rate + RISE_DEVIATIONS * swing) {
+        demand->rate = demand->fast;
+    }
 }
 
-/* A copy's weight is what its upstream has free without this item. */
+/* Routing compares the load of copies, so the emptier one gets more. */
 static double
 copy_weight(const PlaceState *state, const PlaceCopy *copy)
 {
     const PlaceUp *up = &state->ups[copy->up];
     double fullness = up->slots > 0 ? up->use / up->slots : 1;
 
-    return 1 / (0.05 + fullness * fullness);
+    return 1 / (FLAT + fullness * fullness);
 }
 
 static bool
@@ -72,7 +90,7 @@
             share_item(state, item, use);
         }
         for (int up = 0; up < state->up_count; up++) {
-            double step = round == 0 ? 1 : 0.5;
+            double step = round == 0 ? 1 : SHARE_STEP;
             state->ups[up].use += step * (use[up] - state->ups[up].use);
         }
     }
