place: weigh moves by a loss curve; let an adapter bring its base

Room is now made where the copy goes, and an upstream that waits for room is left alone. Cause of the many moves: load above target_use counted as lost, though at 0.8 of the slots hardly anything is. Now a curve from nothing at the target to all beyond the slots, summed over all copies of the item; surplus gives way only if it serves a quarter of the new copy or less; estimated gain must be twice the price, since the best of many estimates errs upwards; an adapter in demand has its base loaded first. A swap for a second copy needs room in all.

--- a/src/place/room.c
+++ b/src/place/room.c
@@ -7,6 +7,10 @@
 #define KEEP_ADAPTERS_WORTH 10.0 /* new base version beside its adapters */
 #define MEMORY_WEIGHT 0.5        /* of memory use against slot use */
 
+enum {
+    ROOMY = 8 /* times an item's bytes that are free in all */
+};
+
 static double
 memory_use(const PlaceState *state, int up)
 {
@@ -112,8 +116,8 @@
 }
 
 /* unloads until the item will fit; what is being unloaded counts */
-static bool
-evict(PlaceState *state, int up, uint64_t bytes, PlaceLevel level)
+bool
+place_evict(PlaceState *state, int up, uint64_t bytes, PlaceLevel level)
 {
     while (state->ups[up].room + state->ups[up].pending < bytes) {
         int victim = pick_victim(state, up, level);
@@ -215,6 +219,17 @@
     return best;
 }
 
+static uint64_t
+free_room(const PlaceState *state)
+{
+    uint64_t sum = 0;
+
+    for (int up = 0; up < state->up_count; up++) {
+        sum += state->ups[up].usable ? state->ups[up].room : 0;
+    }
+    return sum;
+}
+
 bool
 place_make_room(PlaceState *state, int item, PlaceLevel level)
 {
@@ -223,9 +238,13 @@
     for (int i = LEVEL_SURPLUS; i <= (int)level; i++) {
         int up = pick_eviction(state, item, (PlaceLevel)i);
         if (up != NONE) {
-            return evict(state, up, bytes, (PlaceLevel)i);
+            return place_evict(state, up, bytes, (PlaceLevel)i);
         }
     }
+    /* for one copy more, a swap pays only while memory is not short */
+    if (state->items[item].have > 0 && free_room(state) < ROOMY * bytes) {
+        return false;
+    }
     int up = pick_swap(state, item, level);
     return up != NONE && start_swap(state, up);
 }
--- a/src/place/state.c
+++ b/src/place/state.c
@@ -1,5 +1,6 @@
 #include "state.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -153,6 +154,7 @@
     state->ups = BkMem_New((size_t)state->up_count, sizeof(PlaceUp));
     state->items = BkMem_New((size_t)state->item_count, sizeof(PlaceItem));
     state->moves = moves;
+    state->spare_worth = HUGE_VAL;
     state->max = max;
     state->loads_left = conf->loads_at_once - input->loads_in_progress;
     if (state->loads_left > conf->loads_per_second) {
@@ -297,7 +299,8 @@
         return true;
     }
     if (copy->current) {
-        return item->ready_current > item->least &&
+        return item->demand <= state->spare_worth * item->ready &&
+               item->ready_current > item->least &&
                (item->least < 2 || !narrows_domains(state, index));
     }
     int enough = level == LEVEL_SURPLUS ? item->least : 1;
--- a/src/place/state.h
+++ b/src/place/state.h
@@ -60,7 +60,8 @@
     int max;
     int move_count;
     int loads_left;
-    bool waiting; /* room is being made for what must be there */
+    double spare_worth; /* slots a surplus copy may serve and still go */
+    bool waiting;       /* room is being made for what must be there */
 } PlaceState;
 
 /* How much an unload may take away. */
@@ -117,6 +118,10 @@
  * False if nothing can be done. */
 bool place_make_room(PlaceState *state, int item, PlaceLevel level);
 
+/* Unloads from this upstream until so many bytes will be free there; false
+ * if that cannot be had. */
+bool place_evict(PlaceState *state, int up, uint64_t bytes, PlaceLevel level);
+
 /* Bytes that unloads at this level would free on the upstream, and their
  * number. */
 uint64_t place_evictable(const PlaceState *state, int up, PlaceLevel level,
--- a/src/place/weighted.c
+++ b/src/place/weighted.c
@@ -4,34 +4,57 @@
 #include <math.h>
 #include <stdlib.h>
 
+#define WORTH_RATIO 0.25 /* what a copy may take, to give way to a new one */
+
+#define GAIN_MARGIN 2.0 /* estimates err, and the best of many errs upwards */
+
 /* what one load is for */
 typedef struct Offer {
-    int item;
+    int item; /* to load: the item, or the base that it needs there first */
     int up;
-    double gain; /* answers on time over the horizon, weighted, less moves */
+    double gain;  /* answers on time over the horizon, weighted, less moves */
+    double slots; /* that the new copy would serve */
 } Offer;
 
+/*
+ * Slots' worth of requests that cannot be on time at this use: none up to
+ * the target, all that is beyond the slots, and between them a curve, for
+ * requests come by chance and the queue that a deadline allows is short.
+ */
 static double
-capacity(const PlaceState *state, int up)
+loss_at(const PlaceState *state, int up, double use)
 {
-    return state->ups[up].slots * state->conf->target_use;
+    double slots = state->ups[up].slots;
+    double target = slots * state->conf->target_use;
+
+    if (use <= target) {
+        return 0;
+    }
+    if (use < slots) {
+        return (use - target) * (use - target) / (2 * (slots - target));
+    }
+    return (slots - target) / 2 + use - slots;
 }
 
 static double
-overload(const PlaceState *state, int up)
+relief(const PlaceState *state, int up, double slots)
 {
-    return fmax(0, state->ups[up].use - capacity(state, up));
+    double use = state->ups[up].use;
+
+    return loss_at(state, up, use) - loss_at(state, up, use - slots);
 }
 
 static int
 find_hottest(const PlaceState *state, const bool *done)
 {
     int best = NONE;
+    double most = 0;
 
     for (int up = 0; up < state->up_count; up++) {
-        if (state->ups[up].alive && !done[up] && overload(state, up) > 0 &&
-            (best == NONE || overload(state, up) > overload(state, best))) {
+        double loss = loss_at(state, up, state->ups[up].use);
+        if (state->ups[up].alive && !done[up] && loss > most) {
             best = up;
+            most = loss;
         }
     }
     return best;
@@ -40,67 +63,113 @@
 /* moves that a load there takes: itself and the unloads that make room;
  * 0 if it cannot be had */
 static int
-moves_needed(const PlaceState *state, int item, int up)
+moves_needed(const PlaceState *state, uint64_t bytes, int up)
 {
     const PlaceUp *place = &state->ups[up];
-    uint64_t bytes = place_item(state, item)->bytes;
     int unloads;
 
-    if (place->room >= bytes) {
+    uint64_t coming = place->room + place->pending;
+    if (coming >= bytes) {
         return 1;
     }
-    if (place->pending > 0) {
-        return 0;
-    }
     uint64_t reach = place_evictable(state, up, LEVEL_SURPLUS, &unloads);
-    return place->room + reach >= bytes ? 1 + unloads : 0;
+    return coming + reach >= bytes ? 1 + unloads : 0;
 }
 
-/* Requests a second that a copy of the item on up would take off hot. */
+/* what a copy on up would serve: an equal share, but no more than makes up
+ * as full as hot */
 static double
-relief(const PlaceState *state, int item, int hot, int up)
+slots_served(const PlaceState *state, int item, int hot, int up)
 {
     const PlaceItem *want = &state->items[item];
-    double work = state->in->demand[item].work;
-    double room = capacity(state, up) - state->ups[up].use;
-    double share = want->demand / (want->have + 1);
-    double slots = fmin(fmin(share, overload(state, hot)), room);
+    double gap = state->ups[hot].use - state->ups[up].use;
+
+    return fmin(want->demand / (want->have + 1), gap / 2);
+}
 
-    return work > 0 && slots > 0 ? slots / work : 0;
+/* slots' worth of requests that would be on time besides */
+static double
+gain_of(const PlaceState *state, int item, int up, double slots)
+{
+    int have = state->items[item].have;
+    double sum = relief(state, up, -slots);
+    int at = state->items[item].first;
+
+    for (; at != NONE; at = state->copies[at].next_of_item) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (copy->current && !copy->going && state->ups[copy->up].alive) {
+            sum += relief(state, copy->up, slots / have);
+        }
+    }
+    return sum;
 }
 
 static void
-weigh_target(const PlaceState *state, int item, int hot, int up, Offer *best)
+weigh_target(PlaceState *state, int item, int hot, int up, Offer *best)
 {
     const BkPlaceConf *conf = state->conf;
-    double rate = relief(state, item, hot, up);
+    const BkItem *spec = place_item(state, item);
+    double work = state->in->demand[item].work;
+    double slots = slots_served(state, item, hot, up);
+    int load = item;
 
-    if (rate <= 0 || !place_accepts(state, item, up)) {
+    if (slots <= 0 || work <= 0 || place_find(state, item, up, true) != NONE) {
         return;
     }
-    int moves = moves_needed(state, item, up);
-    if (moves == 0) {
+    double horizon = (double)conf->horizon / BK_MS_PER_S;
+    double gain = gain_of(state, item, up, slots) / work * horizon *
+                  conf->attainment_weight / GAIN_MARGIN;
+    if (gain <= best->gain) {
         return;
     }
-    double gain =
-        rate * (double)conf->horizon / BK_MS_PER_S * conf->attainment_weight -
-        moves * conf->move_weight;
-    bool cooler = best->up != NONE && gain == best->gain &&
-                  state->ups[up].use < state->ups[best->up].use;
-    if (gain > best->gain || cooler) {
-        *best = (Offer){item, up, gain};
+    uint64_t bytes = spec->bytes;
+    if (spec->base != NONE &&
+        place_find(state, spec->base, up, true) == NONE) {
+        load = spec->base;
+        bytes += place_item(state, load)->bytes;
+        gain -= conf->move_weight;
+    }
+    if (!place_accepts(state, load, up)) {
+        return;
+    }
+    state->spare_worth = slots * WORTH_RATIO;
+    int moves = moves_needed(state, bytes, up);
+    gain -= moves * conf->move_weight;
+    if (moves > 0 && gain > best->gain) {
+        *best = (Offer){load, up, gain, slots};
     }
 }
 
+/* an adapter whose base is on its way somewhere waits for it */
+static bool
+awaits_base(const PlaceState *state, int item)
+{
+    int base = place_item(state, item)->base;
+
+    if (base == NONE) {
+        return false;
+    }
+    int at = state->items[base].first;
+    for (; at != NONE; at = state->copies[at].next_of_item) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (copy->current && !copy->going && !copy->ready &&
+            state->ups[copy->up].usable) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static Offer
-find_offer(const PlaceState *state, int hot)
+find_offer(PlaceState *state, int hot)
 {
-    Offer best = {NONE, NONE, 0};
+    Offer best = {NONE, NONE, 0, 0};
     int at = state->ups[hot].first;
 
     for (; at != NONE; at = state->copies[at].next_on_up) {
         const PlaceCopy *copy = &state->copies[at];
-        if (copy->item == NONE || !copy->current || copy->going) {
+        if (copy->item == NONE || !copy->current || copy->going ||
+            awaits_base(state, copy->item)) {
             continue;
         }
         for (int up = 0; up < state->up_count; up++) {
@@ -112,16 +181,18 @@
     return best;
 }
 
-/* false when the answer is full */
+/* returns whether the load was ordered; else its room is being made */
 static bool
 accept_offer(PlaceState *state, const Offer *offer)
 {
     uint64_t bytes = place_item(state, offer->item)->bytes;
 
-    if (state->ups[offer->up].room < bytes) {
-        return place_make_room(state, offer->item, LEVEL_SURPLUS);
+    if (state->ups[offer->up].room >= bytes) {
+        return place_plan_load(state, offer->item, offer->up, "demand");
     }
-    return place_plan_load(state, offer->item, offer->up, "demand");
+    state->spare_worth = offer->slots * WORTH_RATIO;
+    place_evict(state, offer->up, bytes, LEVEL_SURPLUS);
+    return false;
 }
 
 void
@@ -129,20 +200,19 @@
 {
     bool *done = BkMem_New((size_t)state->up_count, sizeof(bool));
 
+    /* each round orders a load or is the last one of its upstream */
     while (state->loads_left > 0) {
         int hot = find_hottest(state, done);
         if (hot == NONE) {
             break;
         }
         Offer offer = find_offer(state, hot);
-        if (offer.item == NONE) {
-            done[hot] = true;
-            continue;
+        if (offer.item != NONE && accept_offer(state, &offer)) {
+            place_share_demand(state);
         }
-        if (!accept_offer(state, &offer)) {
-            break;
+        else {
+            done[hot] = true;
         }
-        place_share_demand(state);
     }
     free(done);
 }
