--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -29,11 +29,14 @@
     uint32_t round;  /* list in which it was last seen */
 } Vm;
 
+typedef struct Poll Poll;
+
 struct BkUpstreamWatch {
     BkDaemon *daemon;
     BkTimer *poll_timer;
     BkTimer *vms_timer;
     BkTimer *drains_timer;
+    Poll *in_flight;
     int polls; /* in flight */
     Vm *vms;
     int vm_count;
@@ -42,10 +45,29 @@
     int drained_count;
 };
 
-typedef struct Poll {
+struct Poll {
     BkUpstreamWatch *watch;
     char *upstream; /* by name: the view may be replaced meanwhile */
-} Poll;
+    BkHttpCall *call;
+    Poll *prev;
+    Poll *next;
+};
+
+static void
+free_poll(Poll *poll)
+{
+    if (poll->prev != NULL) {
+        poll->prev->next = poll->next;
+    }
+    else {
+        poll->watch->in_flight = poll->next;
+    }
+    if (poll->next != NULL) {
+        poll->next->prev = poll->prev;
+    }
+    free(poll->upstream);
+    free(poll);
+}
 
 static void
 take_state(const BkHttpResult *result, BkStr body, void *arg)
@@ -64,8 +86,7 @@
             BkView_TakeFailure(daemon->view, up, now);
         }
     }
-    free(poll->upstream);
-    free(poll);
+    free_poll(poll);
 }
 
 static void
@@ -81,9 +102,15 @@
     snprintf(url, sizeof(url), "http://%s/admin/state", upstream->addr);
     poll->watch = watch;
     poll->upstream = BkStr_Dup(BkStr_FromC(upstream->name));
+    poll->next = watch->in_flight;
+    if (poll->next != NULL) {
+        poll->next->prev = poll;
+    }
+    watch->in_flight = poll;
     watch->polls++;
     BkView_Polled(daemon->view, up, now);
-    BkHttpClient_Fetch(daemon->http, &spec, MAX_STATE_BYTES, take_state, poll);
+    poll->call = BkHttpClient_Fetch(daemon->http, &spec, MAX_STATE_BYTES,
+                                    take_state, poll);
 }
 
 static bool
@@ -328,6 +355,10 @@
     if (watch == NULL) {
         return;
     }
+    while (watch->in_flight != NULL) {
+        BkHttpCall_Cancel(watch->in_flight->call);
+        free_poll(watch->in_flight);
+    }
     clear_drained(watch);
     for (int i = 0; i < watch->vm_count; i++) {
         free(watch->vms[i].name);
