take in net

Two fixes of the same fault met: a cancel that waits a moment and is dropped when an attempt begins at the same upstream replaces the address kept in the relay, since it needs no state of the relay.

--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -12,7 +12,8 @@
     HTTP_NOT_FOUND = 404,
     FIELDS_MOST = 8,
     FIELD_BYTES = 256,
-    CONNECT_TIMEOUT_MS = 500
+    CONNECT_TIMEOUT_MS = 500,
+    CANCEL_AFTER_MS = 1 /* not before the next upstream is chosen */
 };
 
 /* header fields of one exchange */
@@ -170,6 +171,7 @@
     relay->up_key = upstream->key;
     relay->up_boot = entry->daemon->view->ups[up].boot;
     snprintf(relay->up_addr, sizeof(relay->up_addr), "%s", upstream->addr);
+    BkCancel_DropAt(entry, relay->request, relay->up_addr);
     relay->on_upstream = true;
     relay->sent_at = BkClock_Now();
     BkRoute_Sent(entry->daemon->view, up);
@@ -240,17 +242,6 @@
     start_call(relay, up, "GET", target, (BkStr){NULL, 0});
 }
 
-void
-BkAttempt_CancelUseless(BkRelay *relay, const char *next_addr)
-{
-    if (relay->useless_addr[0] != '\0' &&
-        strcmp(relay->useless_addr, next_addr) != 0) {
-        BkCancel_Schedule(relay->entry, relay->request, relay->useless_addr,
-                          0);
-    }
-    relay->useless_addr[0] = '\0';
-}
-
 void
 BkAttempt_Start(BkRelay *relay, int up)
 {
@@ -261,7 +252,6 @@
     relay->attempt++;
     relay->tries++;
     enter_upstream(relay, up);
-    BkAttempt_CancelUseless(relay, relay->up_addr);
     if (relay->resuming) {
         start_get(relay, up);
         return;
@@ -320,9 +310,9 @@
     note_tried(relay, relay->up_key);
     relay->all_gone = relay->all_gone && relay->code == HTTP_NOT_FOUND;
     if (!not_run && !relay->service && !relay->from_ticket) {
-        /* what it still does is of no use, unless it is tried again: then
-           the cancel would hit the new attempt under the same name */
-        memcpy(relay->useless_addr, relay->up_addr, sizeof(relay->up_addr));
+        /* what it still does for this request is of no use */
+        BkCancel_Schedule(relay->entry, relay->request, relay->up_addr,
+                          CANCEL_AFTER_MS);
     }
     BkRelay_Send(relay);
 }
