--- a/include/bk/steward/steward.h
+++ b/include/bk/steward/steward.h
@@ -102,10 +102,11 @@
     BkDaemon *daemon;
     BkTimer *timer;
     BkLease lease;
-    BkMs heard_at;       /* planner_at told to the lease last */
-    uint64_t beat;       /* renewals of this term */
-    uint64_t was_term;   /* highest term held */
-    uint64_t quiet_term; /* highest written to the session row */
+    BkMs heard_at;         /* planner_at told to the lease last */
+    const char *claim_why; /* for the audit trail */
+    uint64_t beat;         /* renewals of this term */
+    uint64_t was_term;     /* highest term held */
+    uint64_t quiet_term;   /* highest written to the session row */
     bool quieting;
     bool planning;
     bool taking_over;
--- a/src/ctl/status.c
+++ b/src/ctl/status.c
@@ -12,10 +12,10 @@
     const BkInForceRow *row = &fleet->in_force;
     char span[BK_CTL_SPAN];
 
-    if (fleet->platform != BK_OK) {
-        printf("bundle     the platform does not answer; the highest version "
-               "that a daemon acts on is %" PRIu64 "  [daemons]\n",
-               BkDaemonList_HighestActing(&fleet->daemons));
+    if (fleet->platform != BK_OK && row->version == 0) {
+        printf("bundle     %s; the highest version that a daemon acts on is "
+               "%" PRIu64 "  [daemons]\n",
+               fleet->why, BkDaemonList_HighestActing(&fleet->daemons));
         return;
     }
     if (row->version == 0) {
@@ -34,7 +34,7 @@
 {
     const BkProgressRow *progress = &fleet->progress;
 
-    if (fleet->platform != BK_OK) {
+    if (fleet->platform != BK_OK && progress->row_version == 0) {
         return;
     }
     if (progress->row_version == 0) {
@@ -59,7 +59,7 @@
 static void
 print_planner(const BkFleet *fleet)
 {
-    if (fleet->platform == BK_OK && fleet->term.row_version != 0) {
+    if (fleet->term.row_version != 0) {
         printf("planner    %s, term %" PRIu64 "  [row planner/term]\n",
                fleet->term.holder, fleet->term.term);
     }
@@ -114,21 +114,31 @@
     }
 }
 
+static void
+print_upstream(const BkFleet *fleet, const BkSeenUpstream *seen)
+{
+    char span[BK_CTL_SPAN];
+
+    BkCtl_FormatSpan(seen->seen_ms, span);
+    printf("  %-16s %-8s %-8s %-10s ", seen->name,
+           seen->service ? "service" : "engine", seen->domain,
+           BkSeenUpstream_State(seen));
+    if (!seen->service) {
+        printf("%d instances ready, ", seen->ready);
+    }
+    printf("%d running, %d waiting%s, seen %s%s\n", seen->running,
+           seen->waiting,
+           BkFleet_FindDrain(fleet, seen->name) != NULL ? ", drained" : "",
+           span, seen->seen_ms < 0 ? "" : " ago");
+}
+
 static void
 print_upstreams(const BkFleet *fleet)
 {
     printf("upstreams  %d, the freshest word of any daemon  [daemons]\n",
            fleet->upstream_count);
     for (int i = 0; i < fleet->upstream_count; i++) {
-        const BkSeenUpstream *seen = fleet->upstreams[i];
-        char span[BK_CTL_SPAN];
-        BkCtl_FormatSpan(seen->seen_ms, span);
-        printf("  %-16s %-8s %-10s %d instances ready, %d running, "
-               "%d waiting%s, seen %s%s\n",
-               seen->name, seen->domain, BkSeenUpstream_State(seen),
-               seen->ready, seen->running, seen->waiting,
-               BkFleet_FindDrain(fleet, seen->name) != NULL ? ", drained" : "",
-               span, seen->seen_ms < 0 ? "" : " ago");
+        print_upstream(fleet, fleet->upstreams[i]);
     }
 }
 
@@ -191,8 +201,9 @@
         const BkSeenUpstream *seen = fleet->upstreams[i];
         json_array_append_new(
             list,
-            json_pack("{s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:I}", "name",
-                      seen->name, "domain", seen->domain, "state",
+            json_pack("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b, s:I}", "name",
+                      seen->name, "kind", seen->service ? "service" : "engine",
+                      "domain", seen->domain, "state",
                       BkSeenUpstream_State(seen), "ready", seen->ready,
                       "running", seen->running, "waiting", seen->waiting,
                       "drained", BkFleet_FindDrain(fleet, seen->name) != NULL,
@@ -230,7 +241,7 @@
                            (json_int_t)row->age);
     }
     return json_pack(
-        "{s:b, s:o, s:o, s:I, s:s, s:o, s:i, s:o, s:o}", "platform_answers",
+        "{s:b, s:o, s:o, s:I, s:s, s:o, s:i, s:o, s:o}", "whole",
         fleet->platform == BK_OK, "bundle", bundle, "roll",
         progress_json(&fleet->progress), "term", (json_int_t)fleet->term.term,
         "planner", fleet->term.holder == NULL ? "" : fleet->term.holder,
@@ -241,15 +252,12 @@
 
 /* a page without the platform's part is shown, but is no success */
 BkStatus
-BkCtl_FleetStatus(const BkCtl *ctl, const BkFleet *fleet)
+BkCtl_FleetStatus(const BkFleet *fleet)
 {
     if (fleet->platform == BK_OK) {
         return BK_OK;
     }
-    return BkErr_Set(fleet->platform,
-                     "the platform at %s could not be read; the page is not "
-                     "whole",
-                     ctl->conf.platform);
+    return BkErr_Set(fleet->platform, "%s; the page is not whole", fleet->why);
 }
 
 BkStatus
@@ -270,7 +278,7 @@
         print_upstreams(&fleet);
         BkCtl_PrintDrains(&fleet);
     }
-    BkStatus status = BkCtl_FleetStatus(ctl, &fleet);
+    BkStatus status = BkCtl_FleetStatus(&fleet);
     BkFleet_Clear(&fleet);
     return status;
 }
