--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -29,12 +29,19 @@
     uint32_t round;  /* list in which it was last seen */
 } Vm;
 
+typedef struct Poll {
+    BkUpstreamWatch *watch;
+    char *upstream; /* by name: the view may be replaced meanwhile; NULL: this
+                       slot is free */
+} Poll;
+
 struct BkUpstreamWatch {
     BkDaemon *daemon;
     BkTimer *poll_timer;
     BkTimer *vms_timer;
     BkTimer *drains_timer;
     int polls; /* in flight */
+    Poll slots[MAX_POLLS];
     Vm *vms;
     int vm_count;
     uint32_t round;
@@ -42,11 +49,6 @@
     int drained_count;
 };
 
-typedef struct Poll {
-    BkUpstreamWatch *watch;
-    char *upstream; /* by name: the view may be replaced meanwhile */
-} Poll;
-
 static void
 take_state(const BkHttpResult *result, BkStr body, void *arg)
 {
@@ -65,7 +67,19 @@
         }
     }
     free(poll->upstream);
-    free(poll);
+    poll->upstream = NULL;
+}
+
+/* there is one while fewer than MAX_POLLS are in flight */
+static Poll *
+free_slot(BkUpstreamWatch *watch)
+{
+    int i = 0;
+
+    while (i < MAX_POLLS - 1 && watch->slots[i].upstream != NULL) {
+        i++;
+    }
+    return &watch->slots[i];
 }
 
 static void
@@ -74,7 +88,7 @@
     BkDaemon *daemon = watch->daemon;
     const BkUpstream *upstream = &daemon->bundle->upstreams[up];
     char url[URL_BYTES];
-    Poll *poll = BkMem_New(1, sizeof(*poll));
+    Poll *poll = free_slot(watch);
     BkHttpSpec spec = {.method = "GET", .url = url};
 
     spec.timeout = POLL_TIMEOUT_MS;
@@ -329,6 +343,9 @@
         return;
     }
     clear_drained(watch);
+    for (int i = 0; i < MAX_POLLS; i++) {
+        free(watch->slots[i].upstream);
+    }
     for (int i = 0; i < watch->vm_count; i++) {
         free(watch->vms[i].name);
     }
