--- a/bench/slopes/measure.py
+++ b/bench/slopes/measure.py
@@ -14,6 +14,7 @@
     "replicas": (48, 96, 144),
     "models": (40, 200, 600),
 }
+CHECK = {"daemons": 48, "replicas": 144, "models": 300}
 REQUESTS = (0, 400, 800, 1600)   # in one window, through one entry
 CHANGES = (0, 3, 6, 9)           # in one window
 PAGE = os.sysconf("SC_PAGE_SIZE")
@@ -217,6 +218,11 @@
                 add(points, dimension, size, observe(world)[0])
             finally:
                 world.close(keep=False)
+    world = build_world(build, **CHECK)
+    try:
+        add(points, "check", 0, observe(world)[0])
+    finally:
+        world.close(keep=False)
     measure_load(build, points)
     for replicas in SIZES["replicas"]:
         measure_start(build, points, replicas)
--- a/bench/slopes/report.py
+++ b/bench/slopes/report.py
@@ -13,6 +13,7 @@
     ("writes", "platform writes/s", None),
 )
 BASE = {"daemons": 8, "replicas": 16, "models": 40}
+VM_READERS = 8  # daemons that read the VM list once a period
 KNEE = 48  # from here on a message to a peer is full of observations
 # copies: of all models, adapters and versions together
 PLACES = {
@@ -22,6 +23,8 @@
     "target": {"daemons": 410, "replicas": 600, "models": 600,
                "copies": 1200},
 }
+# measure.CHECK: a size at which no slope was measured
+CHECK = {"daemons": 48, "replicas": 144, "models": 300, "copies": 300}
 # A state grows with the copies on one replica, memory and the planner's work
 # with the models themselves.
 BY_MODELS = (("memory_mib", "entry"), ("memory_mib", "steward"),
@@ -73,16 +76,12 @@
 
     def estimate(self, role, name, place):
         """(value, error) from the slopes of all three dimensions."""
-        replicas = self.fit("replicas", role, name)
-        base = dict(self.series("daemons", role, name)).get(
-            BASE["daemons"], 0.0)
-        count = place["replicas"]
-        if count >= KNEE:
-            value = replicas.at(count)
-        else:
-            share = (count - BASE["replicas"]) / (KNEE - BASE["replicas"])
-            value = base + share * (replicas.at(KNEE) - base)
-        error = replicas.error * max(count - KNEE, 0)
+        if name == "control_bytes":
+            kinds = {p[3] for p in self.points if p[3].startswith("bytes_")}
+            parts = [self.estimate(role, kind, place) for kind in kinds]
+            return (sum(value for value, _ in parts),
+                    sum(error for _, error in parts))
+        value, error = self.over_replicas(role, name, place)
         for dimension in ("daemons", "models"):
             line = self.fit(dimension, role, name)
             far = place[dimension] - BASE[dimension]
@@ -94,6 +93,21 @@
             error += line.error * abs(far)
         return max(value, 0.0), error
 
+    def over_replicas(self, role, name, place):
+        line = self.fit("replicas", role, name)
+        base = dict(self.series("daemons", role, name)).get(
+            BASE["daemons"], 0.0)
+        count = place["replicas"]
+        if name == "bytes_platform":
+            # the VM list, read more rarely the more daemons there are
+            share = min(1.0, VM_READERS / place["daemons"])
+            far = (count - BASE["replicas"]) * share
+            return base + line.b * far, line.error * far
+        if count >= KNEE:
+            return line.at(count), line.error * (count - KNEE)
+        share = (count - BASE["replicas"]) / (KNEE - BASE["replicas"])
+        return base + share * (line.at(KNEE) - base), 0.0
+
 
 def number(value):
     if value >= 100:
@@ -203,6 +217,20 @@
                  ["600 replicas", "error"], rows)
 
 
+def check_table(model):
+    """The model against a system that no slope was measured on."""
+    rows = []
+    for role in ROLES:
+        for name, heading, _ in QUANTITIES:
+            measured = model.series("check", role, name)
+            if not measured:
+                continue
+            value, _ = model.estimate(role, name, CHECK)
+            rows.append([role, heading, number(value),
+                         number(measured[0][1])])
+    return table(["role", "quantity", "worked out", "measured"], rows)
+
+
 def fill(page, name, text):
     begin, end = "<!-- begin %s -->" % name, "<!-- end %s -->" % name
     head, rest = page.split(begin)
@@ -239,7 +267,8 @@
                        ("kinds", kinds_table(model)),
                        ("platform", platform_table(model)),
                        ("work", work_table(model)),
-                       ("start", start_table(model))):
+                       ("start", start_table(model)),
+                       ("check", check_table(model))):
         page = fill(page, name, text)
     with open(path, "w") as file:
         file.write(page)
