view: let a draw decide which upstream is polled next

Cause: all daemons took the stalest upstream; gossip gives them the same view, so 8 daemons polled the same upstreams in step and three of four polls told nothing new. Seen in the slopes: poll bytes did not fall with poll_age, and three daemons showed the same ages to the millisecond. Ruled out: lost observations (the ages were equal because they were shared). New setting poll_age.

--- a/bench/slopes/measure.py
+++ b/bench/slopes/measure.py
@@ -22,6 +22,7 @@
 PRODUCTION = {
     "daemon_gossip_period": "1s",
     "daemon_polls_per_second": "4",
+    "daemon_poll_age": "1s",
     "platform_poll_bundle": "1500ms",
     "platform_poll_vms": "3s",
 }
--- a/bench/slopes/report.py
+++ b/bench/slopes/report.py
@@ -34,6 +34,10 @@
 TARGET_REQUESTS = 1100
 TARGET_CHANGES_A_DAY = 260
 DAY_S = 86400
+DEMAND_PERIOD_S = 5
+DEMAND_HEAD = 76  # bytes: RPC head, name, epoch, length
+DEMAND_ROW = 20
+DEMAND_MOST_ROWS = 64
 COMMAND = "`make slopes`"
 
 
@@ -196,6 +200,20 @@
         rows.append(["processor of a change, " + role,
                      "%.2f ms ± %.2f" % (cpu.b * 10, cpu.error * 10),
                      "%.4f %% of a core" % max(cpu.b * rate, 0)])
+    # no slope: the form of the message, a row for each model that was asked
+    # for since the last one
+    entries = PLACES["target"]["daemons"] / 2
+    demand_rows = min(share * DEMAND_PERIOD_S, DEMAND_MOST_ROWS)
+    demand = entries * (DEMAND_HEAD + demand_rows * DEMAND_ROW) \
+        / DEMAND_PERIOD_S
+    control = model.estimate("planner", "control_bytes",
+                             PLACES["target"])[0] + demand
+    rows.append(["demand at the planner (worked out from the message)",
+                 "%d bytes and %d a model, every %d s from each entry"
+                 % (DEMAND_HEAD, DEMAND_ROW, DEMAND_PERIOD_S),
+                 "%s bytes/s, with all other control %s of %s: %s"
+                 % (number(demand), number(control), number(11 * 1024),
+                    verdict(control, 0, 11 * 1024))])
     longest = [p[4] for p in model.points if p[3] == "longest_in_force_s"]
     rows.append(["longest from `bkctl bundle roll` to in force at 8 daemons",
                  "%.2f s" % max(longest), "budget 3 s"])
--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -44,7 +44,9 @@
     BkMs poll_vms;
     BkMs gossip_period;
     int64_t gossip_fanout;
-    int64_t polls_per_second; /* of upstreams */
+    int64_t polls_per_second; /* of upstreams, at most */
+    BkMs
+        poll_age; /* an upstream seen this lately, by anybody, is not polled */
     BkMs stale_after;
     BkMs cut_off_after;
     BkMs balancer_wait; /* at a planned stop, after /readyz says no */
--- a/include/bk/view/view.h
+++ b/include/bk/view/view.h
@@ -95,9 +95,15 @@
  * first, then the freshest. Returns their number. */
 int BkView_Tell(const BkView *view, BkMs now, BkObs *out, int max);
 
-/* The upstream to poll next: instance list out of date first, then the
- * stalest; -1 if none is older than least_age. */
-int BkView_NextPoll(const BkView *view, BkMs now, BkMs least_age);
+/*
+ * The upstream to poll next, of those that nobody has been heard to see for
+ * least_age; -1 if there is none. Ones whose instance list is out of date go
+ * first. Of two picked by draw, a random number, the staler one is taken:
+ * daemons that all took the stalest would poll the same ones in step, since
+ * gossip gives them the same view.
+ */
+int BkView_NextPoll(const BkView *view, BkMs now, BkMs least_age,
+                    uint32_t draw);
 
 /* A ready instance of the item in this upstream's list, with the wanted
  * version if there is one, else any; NULL if none. */
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -129,7 +129,8 @@
     BkMs now = BkClock_Now();
 
     while (daemon->view != NULL && watch->polls < MAX_POLLS) {
-        int up = BkView_NextPoll(daemon->view, now, period);
+        int up = BkView_NextPoll(daemon->view, now, daemon->conf->poll_age,
+                                 (uint32_t)BkRng_Next(&daemon->rng));
         if (up < 0) {
             break;
         }
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -3,9 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* a poll that is this young is not made again, whatever its result */
 enum {
-    POLL_SPACING_MS = 250
+    POLL_SPACING_MS = 250, /* a poll that is this young is not made again */
+    DRAW_SHIFT = 16        /* half of the bits of a draw */
 };
 
 static void
@@ -220,32 +220,54 @@
            (up->seen != BK_MS_NEVER && up->insts_digest != up->digest);
 }
 
-int
-BkView_NextPoll(const BkView *view, BkMs now, BkMs least_age)
+/* whether it may be polled; *old: its instance list is out of date */
+static bool
+is_due(const BkUpView *up, BkMs now, BkMs least_age, bool *old)
 {
-    int best = -1;
-    bool best_old = false;
-    BkMs best_touch = 0;
+    if (up->polled != BK_MS_NEVER && now - up->polled < POLL_SPACING_MS) {
+        return false;
+    }
+    BkMs touch = last_touch(up);
+    *old = list_is_old(up);
+    return *old || touch < 0 || now - touch >= least_age;
+}
 
+/* the n-th upstream that is due and whose list is old, or not */
+static int
+find_due(const BkView *view, BkMs now, BkMs least_age, bool want_old,
+         uint32_t n)
+{
     for (int i = 0; i < view->count; i++) {
-        const BkUpView *up = &view->ups[i];
-        if (up->polled != BK_MS_NEVER && now - up->polled < POLL_SPACING_MS) {
-            continue;
-        }
-        bool old = list_is_old(up);
-        BkMs touch = last_touch(up);
-        if (!old && touch >= 0 && now - touch < least_age) {
-            continue;
+        bool old;
+        if (is_due(&view->ups[i], now, least_age, &old) && old == want_old &&
+            n-- == 0) {
+            return i;
         }
-        bool better = best < 0 || (old && !best_old) ||
-                      (old == best_old && touch < best_touch);
-        if (better) {
-            best = i;
-            best_old = old;
-            best_touch = touch;
+    }
+    return -1;
+}
+
+int
+BkView_NextPoll(const BkView *view, BkMs now, BkMs least_age, uint32_t draw)
+{
+    uint32_t counts[2] = {0, 0}; /* due with a list in order, out of date */
+
+    for (int i = 0; i < view->count; i++) {
+        bool old;
+        if (is_due(&view->ups[i], now, least_age, &old)) {
+            counts[old]++;
         }
     }
-    return best;
+    bool want_old = counts[true] > 0;
+    uint32_t count = counts[want_old];
+    if (count == 0) {
+        return -1;
+    }
+    uint32_t first = draw % count;
+    uint32_t second = (draw >> DRAW_SHIFT) % count;
+    int a = find_due(view, now, least_age, want_old, first);
+    int b = find_due(view, now, least_age, want_old, second);
+    return last_touch(&view->ups[b]) < last_touch(&view->ups[a]) ? b : a;
 }
 
 const BkInst *
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -310,6 +310,7 @@
             "name": name, "domain": domain, "gossip": gossip, "ops": ops,
             "peers": peers, "signers": self.signer, "secret": self.secret,
             "gossip_period": "200ms", "polls_per_second": "20",
+            "poll_age": "50ms",
             "balancer_wait": "100ms"},
             "platform": {"address": self.platform.addr,
                          "poll_bundle": "200ms", "poll_vms": "200ms"},
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -126,7 +126,8 @@
         print_told(state, atoi(words[1]), out);
     }
     else if (strcmp(words[0], "next") == 0) {
-        int up = BkView_NextPoll(state->view, state->now, atoi(words[1]));
+        int up = BkView_NextPoll(state->view, state->now, atoi(words[1]),
+                                 (uint32_t)strtoul(words[2], NULL, 0));
         BkBuf_Printf(out, "%s\n",
                      up < 0 ? "nobody" : state->bundle->upstreams[up].name);
         if (up >= 0) {
