--- a/src/route/load.c
+++ b/src/route/load.c
@@ -1,6 +1,7 @@
 #include "load.h"
 
 #include <math.h>
+#include <stdlib.h>
 
 #include "index.h"
 
@@ -112,17 +113,20 @@
     return MARGIN * fmin(fmax(part, 0), 1);
 }
 
-/* requests that finish in a span, in seconds, with so many in progress */
+/* requests of other daemons that finish in a span, in seconds, with so many
+ * in progress; the own ones are counted in sent_since */
 static double
-finished_in(const BkRoute *route, const BkView *view, int up, double load,
-            double span)
+others_finished(const BkRoute *route, const BkView *view, int up, double load,
+                double span)
 {
+    int senders = route->conf.senders;
     double running = fmin(load, route_slots(view, up));
 
-    if (route->conf.service_time <= 0) {
+    if (route->conf.service_time <= 0 || senders <= 1) {
         return 0;
     }
-    return running * span * BK_MS_PER_S / (double)route->conf.service_time;
+    double seconds = (double)route->conf.service_time / BK_MS_PER_S;
+    return running * span / seconds * (senders - 1) / senders;
 }
 
 BkMs
@@ -134,9 +138,9 @@
         (double)(now - seen->seen + route->conf.report_lag) / BK_MS_PER_S;
     int others = route->conf.senders > 1 ? route->conf.senders - 1 : 0;
     double sent = others * own_rate(route, up, now) * age;
-    double finished = finished_in(route, view, up, known, age);
+    double finished = others_finished(route, view, up, known, age);
     double margin = margin_deviations(route, up) *
-                    sqrt(sent + finished + seen->sent_since);
+                    sqrt(sent + finished + abs(seen->sent_since));
     double load = seen->running + seen->waiting + seen->sent_since + sent -
                   finished + margin;
 
