--- a/bench/policy/deployment.c
+++ b/bench/policy/deployment.c
@@ -45,7 +45,7 @@
      .client_way = 1,
      .hop_way = 2,
      .place = {.attainment_weight = 1,
-               .move_weight = 60,
+               .move_weight = 100,
                .horizon = 120 * BK_MS_PER_S,
                .rise = 0.3,
                .fall = 0.005,
--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -113,6 +113,10 @@
  * it is listed, or never was, or the list cannot be read. */
 BkMs BkDaemon_VmGoneSince(const BkDaemon *daemon, const char *vm);
 
+/* The daemons of this role that it knows and that do not stop, itself left
+ * out. */
+int BkDaemon_CountPeers(const BkDaemon *daemon, BkRole role);
+
 /* Sends the demand counters to a steward (any will forward). */
 void BkDaemon_SendDemand(BkDaemon *daemon, const bkg_demand *demand);
 
--- a/src/daemon/peers.c
+++ b/src/daemon/peers.c
@@ -108,3 +108,15 @@
     }
     return NULL;
 }
+
+int
+BkDaemon_CountPeers(const BkDaemon *daemon, BkRole role)
+{
+    const BkPeers *peers = daemon->peers;
+    int count = 0;
+
+    for (int i = 0; i < peers->count; i++) {
+        count += peers->list[i].role == role && !peers->list[i].stopping;
+    }
+    return count;
+}
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -129,6 +129,7 @@
         .deadline = relay->opened ? now + SEARCH_SPAN_MS : relay->deadline,
     };
     query_tried(relay, &query);
+    entry->route.conf.senders = 1 + BkDaemon_CountPeers(daemon, BK_ROLE_ENTRY);
     BkRouteChoice choice =
         BkRoute_Choose(&entry->route, daemon->view, &query, now);
     if (choice.status == BK_ENOTREADY && relay->try_same) {
