--- a/src/place/state.c
+++ b/src/place/state.c
@@ -293,6 +293,10 @@
     if (copy->ready && item->ready <= 1) {
         return false;
     }
+    /* what would be left are old versions, which may be pinned */
+    if (copy->ready && copy->current && item->ready_current <= 1) {
+        return false;
+    }
     if (level == LEVEL_RESCUE) {
         return true;
     }
--- a/src/steward/engine.c
+++ b/src/steward/engine.c
@@ -137,6 +137,7 @@
     engine->reread = false;
     engine->dirty = false;
     engine->ask_now = true;
+    BkEngine_Step(engine, BkClock_Now());
 }
 
 static void
@@ -180,6 +181,7 @@
         engine->reread = true;
         forget_load(engine);
     }
+    BkEngine_Step(engine, BkClock_Now());
 }
 
 static void
@@ -246,11 +248,13 @@
 
     if (!end_step(engine) || engine->up < 0 ||
         engine->asked_version != daemon->inforce.acting) {
+        engine->ask_now = true;
         return;
     }
     if (result->status != BK_OK || result->code != 200 ||
         BkView_TakeState(daemon->view, engine->up, body, now) != BK_OK) {
         BkView_TakeFailure(daemon->view, engine->up, now);
+        engine->ask_now = true;
         engine->wait_until = now + RETRY_MS;
         return;
     }
@@ -260,6 +264,7 @@
     engine->next_ask =
         now + (at_rest(engine->ledger) ? steward->conf->ask : ASK_BUSY_MS);
     BkOrder_Resend(engine, now);
+    BkEngine_Step(engine, now);
 }
 
 static void
--- a/src/steward/order.c
+++ b/src/steward/order.c
@@ -106,6 +106,7 @@
     }
     free(engine->ordered);
     engine->ordered = NULL;
+    BkEngine_Step(engine, now);
 }
 
 static void
--- a/src/steward/plan.c
+++ b/src/steward/plan.c
@@ -79,6 +79,7 @@
         take_unload(steward, engine, move);
         break;
     }
+    BkEngine_Step(engine, BkClock_Now());
 }
 
 /* those at engines that answer; others hold up nothing */
--- a/tests/proof/basics.py
+++ b/tests/proof/basics.py
@@ -24,9 +24,9 @@
         raise Failure(message % args)
 
 
-def wait(what, look, limit=LIMIT_S):
+def wait(what, look, limit=None):
     """Waits until look() is true and returns what it gave."""
-    end = time.monotonic() + limit
+    end = time.monotonic() + (limit or LIMIT_S)
     while time.monotonic() < end:
         found = look()
         if found:
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -273,9 +273,12 @@
 
     def item(self, kind, name, **keys):
         """A model, adapter or service of the bundle."""
-        self.items = [x for x in self.items if x[0] != kind + " " + name]
+        self.drop(kind, name)
         self.items.append((kind + " " + name, keys))
 
+    def drop(self, kind, name):
+        self.items = [x for x in self.items if x[0] != kind + " " + name]
+
     def model(self, name, version="1", size="1GiB", **keys):
         self.item("model", name, version=version, bytes=size, **keys)
 
@@ -285,12 +288,16 @@
                                                  "allow": allow, **keys}))
         return Caller(token)
 
-    def roll(self, why="proof", *words):
-        """Signs the bundle as described so far and brings it into force."""
-        self.write("bundle.ini", [("bundle", {"name": "proof"})] +
+    def sign(self, path="bundle.ini"):
+        """The bundle as described so far, signed; returns path."""
+        self.write(path, [("bundle", {"name": "proof"})] +
                    self.upstreams + self.items + self.callers)
-        self.ctl("bundle", "sign", "bundle.ini", "--key", "key")
-        said = self.ctl("bundle", "roll", "bundle.ini", "--replaces",
+        self.ctl("bundle", "sign", path, "--key", "key")
+        return path
+
+    def roll(self, why="proof", *words):
+        """Brings the bundle as described so far into force."""
+        said = self.ctl("bundle", "roll", self.sign(), "--replaces",
                         str(self.version), "--why", why, *words)
         self.version += 1
         return said
@@ -306,8 +313,10 @@
             "platform": {"address": self.platform.addr,
                          "poll_bundle": "200ms", "poll_vms": "200ms"},
             section: {"listen": listen} if section == "entry" else {}}
+        if section == "steward":
+            sections["place"] = {}
         for key, value in settings.items():
-            for part in (section, "daemon", "platform"):
+            for part in (section, "daemon", "platform", "place"):
                 if key.startswith(part + "_"):
                     sections[part][key[len(part) + 1:]] = value
                     break
@@ -328,6 +337,13 @@
         return self.daemon(name, "src/steward/bk-steward", "steward",
                            settings, domain)
 
+    def rows(self, table):
+        """All rows of a table of the platform: data by key."""
+        body = request(self.platform.addr, "GET",
+                       "/v1/rows?t=%s&p=&after=&limit=500" % table)[2]
+        return {row["k"]: json.loads(row["d"])
+                for row in json.loads(body)["rows"]}
+
     def restart(self, daemon):
         """A new start of a daemon that has ended, at the same addresses."""
         again = Daemon(self, daemon.name, daemon.program, daemon.settings,
--- a/tests/proof/judges.py
+++ b/tests/proof/judges.py
@@ -45,6 +45,7 @@
                    for i in range(1, tokens + 1))
 
 
+def memory_ok(world):
     """No engine ever held more than its capacity."""
     for name, line in world.journals("memory"):
         check(line["used"] <= line["capacity"], "%s overcommitted: %s", name,
