--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -73,6 +73,7 @@
     bool from_ticket;      /* only holders of the stream can serve it */
     bool all_gone;         /* every holder asked so far said 404 */
     uint32_t up_key;       /* of the present or last attempt */
+    char *inst;            /* asked for in it; NULL: none by name */
     uint32_t up_boot;
     char up_addr[64];
     bool on_upstream; /* counted by BkRoute_Sent */
--- a/include/bk/ledger/ledger.h
+++ b/include/bk/ledger/ledger.h
@@ -61,6 +61,7 @@
     BkSend sends[BK_LEDGER_MAX_SENDS];
     int send_count;
     BkMs ordered_at; /* of the last order by this process; not in the row */
+    BkMs loaded_at;  /* since when this process knows it loaded; the same */
 } BkEntry;
 
 typedef struct BkLedger {
--- a/include/bk/steward/steward.h
+++ b/include/bk/steward/steward.h
@@ -29,6 +29,7 @@
     BkMs order_timeout; /* of one order to an engine */
     BkMs resend_after;  /* an order that shows no effect is repeated */
     BkMs flight_after;  /* bytes of a closed connection have landed */
+    BkMs spread_after;  /* all daemons know of a new copy */
     BkMs vm_lag;        /* of the list of VMs */
 } BkStewardConf;
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -181,7 +181,7 @@
 }
 
 static void
-add_fields(const BkRelay *relay, int up, Fields *fields)
+add_fields(BkRelay *relay, int up, Fields *fields)
 {
     const BkDaemon *daemon = relay->entry->daemon;
     int item = BkBundle_FindItem(daemon->bundle, BkStr_FromC(relay->item));
@@ -200,6 +200,8 @@
     if (!relay->service && item >= 0) {
         const BkInst *inst = BkView_FindReady(daemon->view, up, item);
         add_field(fields, "X-Instance", inst == NULL ? "" : inst->name);
+        free(relay->inst);
+        relay->inst = inst == NULL ? NULL : BkStr_Dup(BkStr_FromC(inst->name));
     }
 }
 
@@ -304,10 +306,35 @@
     };
 }
 
+/* the instance is gone: whether the upstream has another one, of another
+   version maybe */
+static bool
+has_other_instance(BkRelay *relay)
+{
+    const BkDaemon *daemon = relay->entry->daemon;
+    int item = BkBundle_FindItem(daemon->bundle, BkStr_FromC(relay->item));
+    int up = BkBundle_FindUpstreamKey(daemon->bundle, relay->up_key);
+
+    if (item < 0 || up < 0 || relay->inst == NULL) {
+        return false;
+    }
+    BkUpView *seen = &daemon->view->ups[up];
+    for (int i = 0; i < seen->inst_count; i++) {
+        if (strcmp(seen->insts[i].name, relay->inst) == 0) {
+            seen->insts[i].state = BK_INST_UNLOADING;
+        }
+    }
+    return BkView_FindReady(daemon->view, up, item) != NULL;
+}
+
 static void
 leave_for_other(BkRelay *relay, bool not_run)
 {
-    note_tried(relay, relay->up_key);
+    bool gone = not_run && relay->code == HTTP_NOT_FOUND;
+
+    if (!gone || !has_other_instance(relay)) {
+        note_tried(relay, relay->up_key);
+    }
     relay->all_gone = relay->all_gone && relay->code == HTTP_NOT_FOUND;
     if (!not_run && !relay->service && !relay->from_ticket) {
         /* what it still does for this request is of no use */
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -96,6 +96,7 @@
     free(relay->answer_type);
     free(relay->caller);
     free(relay->item);
+    free(relay->inst);
     free(relay->method);
     free(relay->target);
     free(relay->type);
--- a/src/steward/conf.c
+++ b/src/steward/conf.c
@@ -40,6 +40,8 @@
          "until an order without effect is repeated"),
     SPEC("steward", "flight_after", BK_SET_MS, flight_after, "20s", 100,
          600000, "within which bytes of a closed connection land"),
+    SPEC("steward", "spread_after", BK_SET_MS, spread_after, "10s", 0, 600000,
+         "within which all daemons know of a new copy"),
     SPEC("steward", "vm_lag", BK_SET_MS, vm_lag, "60s", 100, 3600000,
          "longest lag of the list of VMs"),
 };
--- a/src/steward/engine.c
+++ b/src/steward/engine.c
@@ -215,6 +215,20 @@
     return true;
 }
 
+static void
+note_loaded(BkLedger *ledger, BkMs now)
+{
+    for (int i = 0; i < ledger->count; i++) {
+        BkEntry *entry = &ledger->entries[i];
+        if (entry->state != BK_ENTRY_LOADED) {
+            entry->loaded_at = 0;
+        }
+        else if (entry->loaded_at == 0) {
+            entry->loaded_at = now;
+        }
+    }
+}
+
 /* the state was asked when nothing else was under way */
 static void
 settle(BkEngine *engine, const BkUpView *seen, BkMs now)
@@ -233,6 +247,7 @@
     int settled =
         BkLedger_Settle(engine->ledger, BkEngine_Upstream(engine)->fencing,
                         engine->fence, &proof, engine->asked_at, now);
+    note_loaded(engine->ledger, now);
     engine->dirty |= changed || settled > 0;
     engine->ask_now = settled > 0;
     BkSends_Prune(steward, engine);
--- a/src/steward/plan.c
+++ b/src/steward/plan.c
@@ -1,4 +1,5 @@
 #include <stdlib.h>
+#include <string.h>
 
 #include "bk/base/counters.h"
 #include "bk/base/log.h"
@@ -42,12 +43,61 @@
            item->version, engine->load, move->why);
 }
 
+typedef struct Others {
+    int loaded;
+    int known; /* loaded for so long that every daemon has heard of them */
+} Others;
+
+static void
+count_others(const BkSteward *steward, const BkEngine *engine,
+             const BkEntry *going, Others *others)
+{
+    BkMs now = BkClock_Now();
+    BkMs spread = steward->conf->spread_after;
+
+    for (int i = 0; i < engine->ledger->count; i++) {
+        const BkEntry *entry = &engine->ledger->entries[i];
+        if (entry == going || entry->state != BK_ENTRY_LOADED ||
+            strcmp(entry->item, going->item) != 0) {
+            continue;
+        }
+        others->loaded++;
+        others->known +=
+            entry->loaded_at != 0 && now - entry->loaded_at >= spread;
+    }
+}
+
+/* A copy goes only when callers find the others: as many as there should
+ * be, or all that there are. */
+static bool
+may_unload(const BkSteward *steward, const BkEntry *going)
+{
+    const BkDaemon *daemon = steward->daemon;
+    Others others = {0};
+    int item = BkBundle_FindItem(daemon->bundle, BkStr_FromC(going->item));
+
+    if (item < 0) {
+        return true;
+    }
+    for (int i = 0; i < steward->engine_count; i++) {
+        const BkEngine *engine = steward->engines[i];
+        if (engine->up >= 0 && engine->ledger != NULL &&
+            BkView_Usable(daemon->view, engine->up, BkClock_Now(),
+                          daemon->conf->stale_after)) {
+            count_others(steward, engine, going, &others);
+        }
+    }
+    int least = daemon->bundle->items[item].copies;
+    int needed = others.loaded < least ? others.loaded : least;
+    return others.known >= (needed < 1 ? 1 : needed);
+}
+
 static void
 take_unload(BkSteward *steward, BkEngine *engine, const BkMove *move)
 {
     int entry = BkLedger_Find(engine->ledger, BkStr_FromC(move->inst));
 
-    if (entry < 0) {
+    if (entry < 0 || !may_unload(steward, &engine->ledger->entries[entry])) {
         return;
     }
     if (BkLedger_OrderUnload(engine->ledger, entry, 0) != BK_OK) {
--- a/tests/proof/planner.py
+++ b/tests/proof/planner.py
@@ -6,6 +6,7 @@
 SETTINGS = {"lease_span": "1500ms", "lease_renew": "300ms",
             "decide": "100ms", "order_timeout": "1500ms",
             "resend_after": "400ms", "flight_after": "5s", "vm_lag": "500ms",
+            "spread_after": "1500ms",
             "place_loads_per_second": "50", "place_loads_at_once": "20",
             "platform_timeout": "300ms"}
 LONGEST_DELAY_MS = 3800
