--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -29,19 +29,15 @@
     uint32_t round;  /* list in which it was last seen */
 } Vm;
 
-typedef struct Poll {
-    BkUpstreamWatch *watch;
-    char *upstream; /* by name: the view may be replaced meanwhile; NULL: this
-                       slot is free */
-} Poll;
+typedef struct Poll Poll;
 
 struct BkUpstreamWatch {
     BkDaemon *daemon;
     BkTimer *poll_timer;
     BkTimer *vms_timer;
     BkTimer *drains_timer;
+    Poll *in_flight;
     int polls; /* in flight */
-    Poll slots[MAX_POLLS];
     Vm *vms;
     int vm_count;
     uint32_t round;
@@ -49,6 +45,30 @@
     int drained_count;
 };
 
+struct Poll {
+    BkUpstreamWatch *watch;
+    char *upstream; /* by name: the view may be replaced meanwhile */
+    BkHttpCall *call;
+    Poll *prev;
+    Poll *next;
+};
+
+static void
+free_poll(Poll *poll)
+{
+    if (poll->prev != NULL) {
+        poll->prev->next = poll->next;
+    }
+    else {
+        poll->watch->in_flight = poll->next;
+    }
+    if (poll->next != NULL) {
+        poll->next->prev = poll->prev;
+    }
+    free(poll->upstream);
+    free(poll);
+}
+
 static void
 take_state(const BkHttpResult *result, BkStr body, void *arg)
 {
@@ -66,20 +86,7 @@
             BkView_TakeFailure(daemon->view, up, now);
         }
     }
-    free(poll->upstream);
-    poll->upstream = NULL;
-}
-
-/* there is one while fewer than MAX_POLLS are in flight */
-static Poll *
-free_slot(BkUpstreamWatch *watch)
-{
-    int i = 0;
-
-    while (i < MAX_POLLS - 1 && watch->slots[i].upstream != NULL) {
-        i++;
-    }
-    return &watch->slots[i];
+    free_poll(poll);
 }
 
 static void
@@ -88,16 +95,22 @@
     BkDaemon *daemon = watch->daemon;
     const BkUpstream *upstream = &daemon->bundle->upstreams[up];
     char url[URL_BYTES];
-    Poll *poll = free_slot(watch);
+    Poll *poll = BkMem_New(1, sizeof(*poll));
     BkHttpSpec spec = {.method = "GET", .url = url};
 
     spec.timeout = POLL_TIMEOUT_MS;
     snprintf(url, sizeof(url), "http://%s/admin/state", upstream->addr);
     poll->watch = watch;
     poll->upstream = BkStr_Dup(BkStr_FromC(upstream->name));
+    poll->next = watch->in_flight;
+    if (poll->next != NULL) {
+        poll->next->prev = poll;
+    }
+    watch->in_flight = poll;
     watch->polls++;
     BkView_Polled(daemon->view, up, now);
-    BkHttpClient_Fetch(daemon->http, &spec, MAX_STATE_BYTES, take_state, poll);
+    poll->call = BkHttpClient_Fetch(daemon->http, &spec, MAX_STATE_BYTES,
+                                    take_state, poll);
 }
 
 static bool
@@ -342,10 +355,11 @@
     if (watch == NULL) {
         return;
     }
-    clear_drained(watch);
-    for (int i = 0; i < MAX_POLLS; i++) {
-        free(watch->slots[i].upstream);
+    while (watch->in_flight != NULL) {
+        BkHttpCall_Cancel(watch->in_flight->call);
+        free_poll(watch->in_flight);
     }
+    clear_drained(watch);
     for (int i = 0; i < watch->vm_count; i++) {
         free(watch->vms[i].name);
     }
