--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -116,11 +116,15 @@
 /* Sends the demand counters to a steward (any will forward). */
 void BkDaemon_SendDemand(BkDaemon *daemon, const bkg_demand *demand);
 
+/* Checks what no single key shows; may fill in what follows from the keys.
+ * ERRORS: BK_ECONFIG. */
+typedef BkStatus (*BkCheckFn)(void *settings);
+
 /* Common start of main: argp with --config, --check-config and --version;
- * loads the settings. Exits by itself on usage errors, 0 after a good
- * --check-config, the result code after a bad one. */
+ * loads the settings and checks them. Exits by itself on usage errors, 0 after
+ * a good --check-config, the result code after bad settings. */
 void BkDaemon_ParseArgs(int argc, char **argv, const char *program,
                         const char *doc, const BkSettingSpec *specs,
-                        int spec_count, void *settings);
+                        int spec_count, BkCheckFn check, void *settings);
 
 #endif
--- a/src/daemon/args.c
+++ b/src/daemon/args.c
@@ -130,7 +130,8 @@
 
 void
 BkDaemon_ParseArgs(int argc, char **argv, const char *program, const char *doc,
-                   const BkSettingSpec *specs, int spec_count, void *settings)
+                   const BkSettingSpec *specs, int spec_count, BkCheckFn check,
+                   void *settings)
 {
     char version[64];
     Args args = {0};
@@ -146,6 +147,11 @@
     if (status == BK_OK) {
         status = check_daemon(args.config, conf);
     }
+    if (status == BK_OK && check(settings) != BK_OK) {
+        char message[512];
+        snprintf(message, sizeof(message), "%s", BkErr_Last());
+        status = BkErr_Set(BK_ECONFIG, "%s: %s", args.config, message);
+    }
     if (status != BK_OK) {
         fprintf(stderr, "%s: %s\n", program, BkErr_Last());
         exit((int)status);
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -143,6 +143,12 @@
     BkDaemon_Destroy(entry->daemon);
 }
 
+static BkStatus
+check_conf(void *settings)
+{
+    return BkEntry_CheckConf(settings);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -152,11 +158,8 @@
 
     BkDaemon_ParseArgs(argc, argv, "bk-entry",
                        "Takes callers' requests to models and services.",
-                       specs, count, &entry.conf);
-    BkStatus status = BkEntry_CheckConf(&entry.conf);
-    if (status == BK_OK) {
-        status = start_entry(&entry);
-    }
+                       specs, count, check_conf, &entry.conf);
+    BkStatus status = start_entry(&entry);
     if (status == BK_OK) {
         BkDaemon_Run(entry.daemon);
     }
--- a/src/steward/main.c
+++ b/src/steward/main.c
@@ -3,6 +3,12 @@
 
 #include "bk/steward/steward.h"
 
+static BkStatus
+check_conf(void *settings)
+{
+    return BkSteward_CheckConf(settings);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -12,12 +18,11 @@
 
     BkDaemon_ParseArgs(argc, argv, "bk-steward",
                        "Places models on engines; one steward is the planner.",
-                       specs, count, &conf);
-    BkStatus status = BkSteward_CheckConf(&conf);
-    BkSteward *steward = status == BK_OK ? BkSteward_Create(&conf) : NULL;
+                       specs, count, check_conf, &conf);
+    BkSteward *steward = BkSteward_Create(&conf);
     if (steward == NULL) {
         fprintf(stderr, "bk-steward: %s\n", BkErr_Last());
-        return status == BK_OK ? BK_EIO : (int)status;
+        return BK_EIO;
     }
     BkDaemon_Run(steward->daemon);
     BkSteward_Destroy(steward);
