claim: refuse at once while the store is down

Cause: during an outage every call that may not be repeated waited out claim_patience (2 s) before it was told "not run". After four failures in a row only the first claim behind each pause asks the store; the others are refused at once. test_store_down fails with the guard out and passes with it. Also proves that a caller gone for good has its upstream work cancelled, and that a call that may not be repeated goes on without it (caller_gone_cancels, seen failing without the cancel, and with the cancel for both).

--- a/src/claim/book.c
+++ b/src/claim/book.c
@@ -11,7 +11,8 @@
     BATCH_BYTES = 256 * 1024,
     ENTRIES_MOST = 8192, /* beyond this, new claims are refused */
     BACKOFF_FIRST_MS = 50,
-    BACKOFF_MOST_MS = 1000
+    BACKOFF_MOST_MS = 1000,
+    DOWN_MS = 400 /* a pause this long: the store is taken to be down */
 };
 
 #define CLAIM_TABLE BK_STR("claims")
@@ -493,11 +494,22 @@
     free(book);
 }
 
+/* while the store is down, only the first claim after each pause is a probe;
+ * the others are refused without a wait */
+static bool
+must_refuse(const BkClaimBook *book)
+{
+    if (book->entries >= ENTRIES_MOST) {
+        return true;
+    }
+    return book->backoff >= DOWN_MS && BkTimer_Running(book->pause);
+}
+
 BkClaimWish *
 BkClaimBook_Claim(BkClaimBook *book, const char *row_key, const char *nonce,
                   const char *request, BkClaimFn fn, void *arg)
 {
-    bool full = book->entries >= ENTRIES_MOST;
+    bool refuse = must_refuse(book);
     BkClaimWish *wish = add_wish(book, ENTRY_CLAIM, row_key);
 
     wish->row.state = BK_CLAIM_CLAIMED;
@@ -506,7 +518,7 @@
     wish->fn = fn;
     wish->arg = arg;
     wish->patience = BkTimer_Create(book->loop, end_patience, wish);
-    BkTimer_Start(wish->patience, full ? 0 : book->patience);
+    BkTimer_Start(wish->patience, refuse ? 0 : book->patience);
     pump(book);
     return wish;
 }
--- a/tests/proof/case_stop.py
+++ b/tests/proof/case_stop.py
@@ -164,3 +164,46 @@
     stalled[0].close()
     wait("streams closed", lambda: b"bk_entry_streams_open 0" in request(
         door.ops, "GET", "/metrics")[2])
+
+
+@case
+def caller_gone_cancels(world):
+    """A caller that leaves and does not come back within the grace: its
+    upstream work is cancelled, streamed or whole; a call that may not be
+    repeated goes on and its outcome is kept."""
+    _, app, (door,), caller = serve(world, entries=1, resume_grace="100ms")
+    app.faults({"on": "app", "do": "delay", "ms": 500})
+    long = 4000  # tokens; a minute's work
+
+    class Gone(OSError):
+        pass
+
+    def leave(answer):
+        if answer.last == 2:
+            raise Gone
+
+    caller.complete(door, "care", "leaf", long, stream=True, on_event=leave)
+    wait("stream cancelled", lambda: [
+        x for _, x in world.journals("done") if not x["whole"]])
+    host, port = door.addr.split(":")
+    for path, extra, body in (
+            ("/v1/completions", "", json.dumps({
+                "model": "care", "prompt": "stem", "max_tokens": long})),
+            ("/app/watering/start", "Idempotency-Key: k\r\n", "pot")):
+        with socket.create_connection((host, int(port))) as leaver:
+            leaver.sendall(("POST %s HTTP/1.1\r\nHost: x\r\n%s"
+                            "Authorization: Bearer token-1\r\n"
+                            "Content-Length: %d\r\n\r\n%s" % (
+                                path, extra, len(body), body)).encode())
+            wait("sent", lambda: b"bk_entry_in_flight 1" in request(
+                door.ops, "GET", "/metrics")[2])
+            time.sleep(0.1)
+        wait("over", lambda: b"bk_entry_in_flight 0" in request(
+            door.ops, "GET", "/metrics")[2])
+    wait("whole answer cancelled", lambda: len([
+        x for _, x in world.journals("done") if not x["whole"]]) == 2)
+    kept = wait("outcome kept", lambda: next(
+        (x for x in [caller.call(door, "watering", "/start", b"pot", "k")]
+         if x.outcome == "done"), None))
+    check(kept.headers.get("Idempotent-Replayed") == "true", "ran again")
+    no_doubles(world)
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -368,6 +368,33 @@
 }
 END_TEST
 
+/* a store that fails again and again: refused without a wait, never sent */
+START_TEST(test_store_down)
+{
+    static Rig rig;
+    BkBuf out = BkBuf_Make(0);
+
+    open_rig(&rig, 60 * BK_MS_PER_S);
+    rig.out = &out;
+    claim(&rig, "a", "a", "same");
+    for (int i = 0; i < 5; i++) {
+        wait_txn(&rig);
+        answer(&rig, "platform");
+    }
+    claim(&rig, "b", "b", "same");
+    while (rig.wishes[1].called == 0 && rig.txn == NULL) {
+        BkLoop_Round(rig.loop, 10);
+    }
+    ck_assert_str_eq(BkBuf_C(&out), "b: EPLATFORM\n");
+    wait_txn(&rig);
+    ck_assert_int_eq(rig.txn->count, 2);
+    answer(&rig, "ok");
+    ck_assert_str_eq(BkBuf_C(&out), "b: EPLATFORM\na: mine\n");
+    close_rig(&rig);
+    BkBuf_Destroy(&out);
+}
+END_TEST
+
 START_TEST(test_codec)
 {
     BkClaimRow row = {.state = BK_CLAIM_DONE, .code = 200, .type = "a/b"};
@@ -403,6 +430,7 @@
 
     tcase_add_test(tcase, test_script);
     tcase_add_test(tcase, test_patience);
+    tcase_add_test(tcase, test_store_down);
     tcase_add_test(tcase, test_codec);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
