entry: refuse dot segments in paths of services

Cause: /app/SERVICE/../../admin/state was passed on unchanged; an upstream that resolves it would serve its operators' paths to a caller. Seen: 200 from the stand-in for six such paths, plain and encoded; after: all six refused with EINVAL, and names that only look like them pass (path_stays_below_its_service).

--- a/src/entry/handlers.c
+++ b/src/entry/handlers.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "bk/entry/codec.h"
 #include "bk/entry/relay.h"
@@ -211,6 +212,37 @@
     BkCompletion_Clear(&completion);
 }
 
+/* one dot, plain or as %2e, off the front */
+static bool
+take_dot(BkStr *segment)
+{
+    size_t len = 0;
+
+    if (segment->len > 0 && segment->ptr[0] == '.') {
+        len = 1;
+    }
+    else if (segment->len >= 3 && strncasecmp(segment->ptr, "%2e", 3) == 0) {
+        len = 3;
+    }
+    segment->ptr += len;
+    segment->len -= len;
+    return len > 0;
+}
+
+/* upstreams that resolve . and .. would be led out of /app/SERVICE */
+static bool
+has_dot_segment(BkStr path)
+{
+    while (path.len > 0) {
+        BkStr segment = BkStr_Split(&path, '/');
+        if (take_dot(&segment) &&
+            (segment.len == 0 || (take_dot(&segment) && segment.len == 0))) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static void
 serve_app(const Context *context)
 {
@@ -225,6 +257,9 @@
         item = -1;
     }
     BkStatus status = check_item(context, item, name);
+    if (status == BK_OK && has_dot_segment(path)) {
+        status = BkErr_Set(BK_EINVAL, "the path has . or .. as a segment");
+    }
     if (status != BK_OK) {
         refuse(context, status, BkErr_Last());
         return;
--- a/tests/proof/case_answers.py
+++ b/tests/proof/case_answers.py
@@ -203,3 +203,26 @@
         check(answer.outcome == "not run", "%s", answer.error)
     check(not world.journals("run"), "something ran")
     wait("entry alive", door.ready)
+
+
+@case
+def path_stays_below_its_service(world):
+    """A path with dot segments, plain or encoded, is refused: no caller gets
+    beyond /app/SERVICE, to the operators' paths of an upstream."""
+    app = world.service("app", "advice")
+    world.item("service", "advice", repeatable="yes")
+    caller = world.caller()
+    world.roll()
+    door = world.entry()
+    world.await_ready()
+    world.await_seen(door, app)
+    for path in ("/../../admin/state", "/a/%2e%2E/../../admin/state",
+                 "/.%2e/.%2E/admin/state", "/a/..", "/./b", "/%2e"):
+        answer = caller.call(door, "advice", path, b"")
+        check(answer.status == 400, "%s: %s %s", path, answer.status,
+              answer.body)
+    for path in ("", "/", "/a..b/...?q=/../x", "/.well-known"):
+        answer = caller.call(door, "advice", path, b"")
+        check(answer.outcome == "done", "%s: %s", path, answer.error)
+    ran = [line for _, line in world.journals("run")]
+    check(len(ran) == 4, "%s", ran)
