net: count requests whose body still comes as in progress

A planned stop looked at requests that the handler had seen; one whose body was on its way was cut. test_reading_is_active never saw it counted before, and passes. A stalled body holds a stop for idle_timeout at most.

--- a/include/bk/net/http_server.h
+++ b/include/bk/net/http_server.h
@@ -3,7 +3,8 @@
  *
  * The handler is called once per request, when the body is complete. It (or
  * a later callback) answers with BkHttpReq_Reply, or opens a stream with
- * BkHttpReq_Stream and feeds it. Until then the connection is suspended.
+ * BkHttpReq_Stream and feeds it. Until then the connection is suspended. A
+ * caller that closes, or shuts down its sending side, counts as gone.
  */
 #ifndef BK_NET_HTTP_SERVER_H
 #define BK_NET_HTTP_SERVER_H
@@ -39,7 +40,7 @@
 /* Takes no new connections; requests in progress go on. */
 void BkHttpServer_Quiesce(BkHttpServer *server);
 
-/* Requests and streams in progress. */
+/* Requests and streams in progress, those whose body still comes included. */
 int BkHttpServer_Active(const BkHttpServer *server);
 
 BkStr BkHttpReq_Method(const BkHttpReq *req);
--- a/src/net/http_server.c
+++ b/src/net/http_server.c
@@ -270,6 +270,7 @@
     uint64_t length = declared_length(req);
 
     req->method = BkStr_Dup(BkStr_FromC(method));
+    link_request(req);
     if (headers_too_large(req)) {
         return refuse_request(req, BK_EHEADERS);
     }
@@ -309,7 +310,6 @@
     }
     if (req->state == REQ_READING) {
         req->state = REQ_WAITING;
-        link_request(req);
         server->spec.handler(req, server->spec.arg);
     }
     if (req->response != NULL) {
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -310,21 +310,35 @@
 }
 END_TEST
 
-/* sends bytes as they are; the answer until the end, or after patience */
-static void
-send_raw(Net *net, BkStr bytes, bool shut, BkBuf *answer)
+static int
+connect_raw(const Net *net)
 {
     struct sockaddr_in to = {
         .sin_family = AF_INET,
         .sin_port = htons((uint16_t)BkHttpServer_Port(net->server)),
         .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
     int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+    ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+    return fd;
+}
+
+static void
+send_text(int fd, const char *text)
+{
+    ck_assert_int_eq(send(fd, text, strlen(text), 0), (ssize_t)strlen(text));
+}
+
+/* sends bytes as they are; the answer until the end, or after patience */
+static void
+send_raw(Net *net, const char *bytes, bool shut, BkBuf *answer)
+{
+    int fd = connect_raw(net);
     BkMs end = BkClock_Now() + PATIENCE;
     char buf[4096];
     ssize_t n = -1;
 
-    ck_assert_int_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
-    ck_assert_int_eq(send(fd, bytes.ptr, bytes.len, 0), (ssize_t)bytes.len);
+    send_text(fd, bytes);
     if (shut) {
         /* an end that comes with the bytes is noticed by idle_timeout only */
         for (int i = 0; i < 5; i++) {
@@ -355,7 +369,7 @@
                  "GET /echo HTTP/1.1\r\nHost: a\r\nX-Long: %0*d"
                  "\r\n\r\n",
                  MAX_HEADER + 500, 7);
-    send_raw(net, BkBuf_Str(&request), false, &answer);
+    send_raw(net, BkBuf_C(&request), false, &answer);
     ck_assert_ptr_nonnull(strstr(BkBuf_C(&answer), "HTTP/1.1 431 "));
     ck_assert_ptr_nonnull(strstr(BkBuf_C(&answer), "\"EHEADERS\""));
     ck_assert_int_eq(net->handled, 0);
@@ -379,7 +393,7 @@
 
     for (size_t i = 0; i < sizeof(cut) / sizeof(cut[0]); i++) {
         BkBuf answer = BkBuf_Make(0);
-        send_raw(net, BkStr_FromC(cut[i]), true, &answer);
+        send_raw(net, cut[i], true, &answer);
         ck_assert_ptr_null(strstr(BkBuf_C(&answer), " 200 "));
         BkBuf_Destroy(&answer);
     }
@@ -388,6 +402,29 @@
 }
 END_TEST
 
+/* a planned stop waits for a request whose body still comes */
+START_TEST(test_reading_is_active)
+{
+    Net *net = open_net();
+    int fd = connect_raw(net);
+    BkMs end = BkClock_Now() + PATIENCE;
+
+    send_text(fd, "POST /echo HTTP/1.1\r\nHost: a\r\n"
+                  "Content-Length: 10\r\n\r\n12345");
+    while (BkHttpServer_Active(net->server) == 0) {
+        ck_assert(BkClock_Now() < end);
+        BkLoop_Round(net->loop, 10);
+    }
+    BkHttpServer_Quiesce(net->server);
+    send_text(fd, "67890");
+    run_until(net, &net->closed, 1);
+    ck_assert(net->closed_whole);
+    ck_assert_int_eq(BkHttpServer_Active(net->server), 0);
+    close(fd);
+    close_net(net);
+}
+END_TEST
+
 /* a server that reads a request and closes without an answer */
 typedef struct Closer {
     BkLoop *loop;
@@ -483,6 +520,7 @@
     tcase_add_test(tcase, test_nothing_sent);
     tcase_add_test(tcase, test_large_headers);
     tcase_add_test(tcase, test_cut_body);
+    tcase_add_test(tcase, test_reading_is_active);
     tcase_add_test(tcase, test_never_sent_twice);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
