entry: look for another copy within the deadline when the known ones are gone

Cause: an engine died while the planner had just moved the other copy; the entry's list was some 50 ms old, so the first copy was silent, the second answered 404 with X-Not-Run, and the caller got "outcome unknown" although a third copy was ready and seconds of its deadline were left. Or the only known copy was tried four times within a millisecond. Ruled out: the retry budget (50 at start).

--- a/include/bk/view/view.h
+++ b/include/bk/view/view.h
@@ -79,6 +79,9 @@
 /* An own poll begins. */
 void BkView_Polled(BkView *view, int up, BkMs now);
 
+/* Its own instance list proved out of date: it is polled soon. */
+void BkView_DoubtList(BkView *view, int up);
+
 /* Whether the VM list or an operator's drain takes the upstream out. */
 void BkView_SetLeft(BkView *view, int up, bool left);
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -101,9 +101,25 @@
     int up = BkBundle_FindUpstreamKey(daemon->bundle, relay->up_key);
     if (up >= 0) {
         BkRoute_Finished(daemon->view, up);
-        if (relay->result.status == BK_ECONNECT) {
-            BkView_TakeFailure(daemon->view, up, BkClock_Now());
-        }
+    }
+}
+
+/* a poll will tell whether it was the upstream or just this exchange */
+static void
+doubt_upstream(const BkRelay *relay)
+{
+    const BkDaemon *daemon = relay->entry->daemon;
+    int up = BkBundle_FindUpstreamKey(daemon->bundle, relay->up_key);
+    bool silent = relay->result.status != BK_OK && relay->code == 0;
+
+    if (up < 0) {
+        return;
+    }
+    if (silent || relay->result.status == BK_ECONNECT) {
+        BkView_TakeFailure(daemon->view, up, BkClock_Now());
+    }
+    if (relay->not_run && relay->code == HTTP_NOT_FOUND) {
+        BkView_DoubtList(daemon->view, up);
     }
 }
 
@@ -116,6 +132,7 @@
     relay->result = *result;
     relay->code = result->code;
     leave_upstream(relay);
+    doubt_upstream(relay);
     BK_LOG(BK_LOG_DEBUG, "attempt", relay->request, "%u at %s: %s, %d",
            relay->attempt, relay->up_addr, BkStatus_Info(result->status)->name,
            result->code);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -431,7 +431,7 @@
     if (relay->answered) {
         return;
     }
-    if (!relay->opened) {
+    if (!relay->opened && BkClock_Now() >= relay->deadline) {
         miss_deadline(relay);
     }
     else if (relay->call == NULL && !relay->ended) {
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -23,6 +23,25 @@
     BkTimer_Start(relay->timer, SEARCH_PAUSE_MS);
 }
 
+/*
+ * The copies that were known failed or have moved; the view learns of others
+ * within a moment, and there is time left. The upstreams that were tried are
+ * polled meanwhile and may be tried again.
+ */
+static bool
+search_early(BkRelay *relay, BkMs now)
+{
+    bool in_time = now + SEARCH_PAUSE_MS < relay->deadline;
+
+    if (!relay->repeatable || !in_time ||
+        relay->tries >= relay->entry->conf.attempts) {
+        return false;
+    }
+    relay->tried.count = 0;
+    BkTimer_Start(relay->timer, SEARCH_PAUSE_MS);
+    return true;
+}
+
 static void
 query_tried(const BkRelay *relay, BkRouteQuery *query)
 {
@@ -125,17 +144,24 @@
     entry->route.conf.senders = 1 + BkDaemon_CountPeers(daemon, BK_ROLE_ENTRY);
     BkRouteChoice choice =
         BkRoute_Choose(&entry->route, daemon->view, &query, now);
-    if (choice.status == BK_ENOTREADY && relay->try_same) {
+    /* at once only one time: it may be gone for a moment */
+    if (choice.status == BK_ENOTREADY && relay->try_same && relay->tries < 2) {
         query.tried_count = 0;
         choice = BkRoute_Choose(&entry->route, daemon->view, &query, now);
     }
     if (choice.status == BK_OK) {
         relay->resuming = false;
+        if (!relay->opened && !BkTimer_Running(relay->timer)) {
+            BkTimer_Start(relay->timer, relay->deadline - now);
+        }
         BkAttempt_Start(relay, choice.upstream);
     }
     else if (relay->opened) {
         search_on(relay, choice.status, choice.retry_after);
     }
+    else if (relay->last_failure != BK_OK && search_early(relay, now)) {
+        return;
+    }
     else if (relay->last_failure != BK_OK) {
         /* why there was no answer tells more than that no copy is left */
         BkRelay_Fail(relay, relay->last_failure, NULL, choice.retry_after);
--- a/src/view/view.c
+++ b/src/view/view.c
@@ -95,6 +95,12 @@
     }
 }
 
+void
+BkView_DoubtList(BkView *view, int up)
+{
+    view->ups[up].insts_digest = ~view->ups[up].digest;
+}
+
 void
 BkView_TakeFailure(BkView *view, int up, BkMs now)
 {
