entry: cut a stream whose caller does not read at all

Cause: a caller that vanished without closing looks like a slow one; it held its upstream, its share and a planned stop without end.

--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -28,11 +28,12 @@
     uint64_t resume_text; /* delivered text kept for another copy */
     BkMs deadline;        /* for the first byte, unless the caller says */
     BkMs max_deadline;
-    BkMs stream_idle;   /* longest silence of an upstream's stream */
-    BkMs answer_limit;  /* longest run of a non-repeatable call */
-    BkMs resume_grace;  /* upstream work outlives its caller by this */
-    BkMs resume_within; /* longest search for a copy in mid-stream */
-    BkMs first_byte;    /* estimates for admission */
+    BkMs stream_idle;     /* longest silence of an upstream's stream */
+    BkMs reader_patience; /* a caller may not read for this long */
+    BkMs answer_limit;    /* longest run of a non-repeatable call */
+    BkMs resume_grace;    /* upstream work outlives its caller by this */
+    BkMs resume_within;   /* longest search for a copy in mid-stream */
+    BkMs first_byte;      /* estimates for admission */
     BkMs service_time;
     double affinity_slack;
     int64_t most_in_flight;
--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -57,7 +57,8 @@
     uint64_t prefix_hash;
     BkMs started;
     BkMs deadline;
-    BkTimer *timer; /* first-byte deadline, then pauses in mid-stream */
+    BkTimer *timer; /* first-byte deadline, then pauses in mid-stream and
+                       patience with the reader */
 
     BkClaimWish *wish;
     bool claimed;
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -433,6 +433,10 @@
     if (!relay->opened) {
         miss_deadline(relay);
     }
+    else if (relay->blocked) {
+        cancel_work(relay);
+        BkRelay_Fail(relay, BK_ETIMEOUT, "the caller does not read", 0);
+    }
     else if (relay->call == NULL && !relay->ended) {
         BkRelay_Send(relay);
     }
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -29,6 +29,8 @@
         "longest span that a caller may ask for"),
     KEY("stream_idle", BK_SET_MS, stream_idle, "20s", 1, 3600000,
         "longest silence of an upstream's stream"),
+    KEY("reader_patience", BK_SET_MS, reader_patience, "60s", 1, 3600000,
+        "how long a stream's caller may not read"),
     KEY("answer_limit", BK_SET_MS, answer_limit, "10min", 1, 86400000,
         "longest run of a non-repeatable call"),
     KEY("resume_grace", BK_SET_MS, resume_grace, "5s", 0, 600000,
--- a/src/entry/stream.c
+++ b/src/entry/stream.c
@@ -10,6 +10,7 @@
     BkRelay *relay = arg;
 
     relay->blocked = false;
+    BkTimer_Stop(relay->timer);
     BkStream_Pump(relay);
     if (relay->blocked) {
         return;
@@ -68,6 +69,7 @@
     }
     if (!BkHttpReq_Write(relay->req, raw)) {
         relay->blocked = true;
+        BkTimer_Start(relay->timer, relay->entry->conf.reader_patience);
         return false;
     }
     return true;
--- a/tests/proof/case_stop.py
+++ b/tests/proof/case_stop.py
@@ -11,10 +11,10 @@
 TOKENS = 40
 
 
-def serve(world, entries=2, **settings):
+def serve(world, entries=2, token_ms=15, **settings):
     """Engines, a service whose calls may not be repeated, entries."""
     engines = [world.engine("engine-%d" % i, domain="ab"[i], first_ms=5,
-                            token_ms=15) for i in range(2)]
+                            token_ms=token_ms) for i in range(2)]
     app = world.service("app", "watering")
     world.model("care")
     world.item("service", "watering", repeatable="no")
@@ -118,15 +118,7 @@
     os.environ["ASAN_OPTIONS"] = ("quarantine_size_mb=1:"
                                   "thread_local_quarantine_size_kb=64")
     bound = (1024 if sanitized(world) else 256) * 1024
-    engines, _, (door,), caller = serve(world, entries=1)
-    for engine in engines:
-        engine.kill()
-    fast = world.upstream("engine-0", ["--memory", 48 << 30, "--slots", 64],
-                          {"first_ms": 0, "token_ms": 0}, False)
-    world.upstreams[0][1]["addr"] = fast.bundle_addr
-    world.roll("a faster engine")
-    fast.load("care")
-    world.await_seen(door, fast, "care@1")
+    _, _, (door,), caller = serve(world, entries=1, token_ms=0)
     host, port = door.addr.split(":")
     body = json.dumps({"model": "care", "prompt": "x", "stream": True,
                        "max_tokens": 200000}).encode()
@@ -166,6 +158,26 @@
         door.ops, "GET", "/metrics")[2])
 
 
+@case
+def reader_that_never_reads(world):
+    """A caller that vanished without closing is cut after a while: it holds
+    neither the engine nor a planned stop."""
+    _, _, (door,), _ = serve(world, entries=1, token_ms=0,
+                             resume_grace="50ms", reader_patience="300ms")
+    host, port = door.addr.split(":")
+    body = json.dumps({"model": "care", "prompt": "x" * 1000, "stream": True,
+                       "max_tokens": 1 << 20}).encode()
+    with socket.socket() as reader:
+        reader.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        reader.connect((host, int(port)))
+        reader.sendall(b"POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
+                       b"Authorization: Bearer token-1\r\n"
+                       b"Content-Length: %d\r\n\r\n%s" % (len(body), body))
+        for state in (b"1", b"0"):
+            wait("open, then cut", lambda: b"bk_entry_streams_open " + state
+                 in request(door.ops, "GET", "/metrics")[2])
+
+
 @case
 def caller_gone_cancels(world):
     """A caller that leaves and does not come back within the grace: its
