--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -44,7 +44,9 @@
     BkMs poll_vms;
     BkMs gossip_period;
     int64_t gossip_fanout;
-    int64_t polls_per_second; /* of upstreams */
+    int64_t polls_per_second; /* of upstreams, at most */
+    BkMs
+        poll_age; /* an upstream seen this lately, by anybody, is not polled */
     BkMs stale_after;
     BkMs cut_off_after;
     BkMs balancer_wait; /* at a planned stop, after /readyz says no */
@@ -113,6 +115,10 @@
  * it is listed, or never was, or the list cannot be read. */
 BkMs BkDaemon_VmGoneSince(const BkDaemon *daemon, const char *vm);
 
+/* The daemons of this role that it knows and that do not stop, itself left
+ * out. */
+int BkDaemon_CountPeers(const BkDaemon *daemon, BkRole role);
+
 /* Sends the demand counters to a steward (any will forward). */
 void BkDaemon_SendDemand(BkDaemon *daemon, const bkg_demand *demand);
 
