entry: pause before the only known copy is tried again

The log showed attempts 1 to 4 at the same dead engine within one millisecond, while the other copy was not known yet. Now 100 ms pass before the same one is tried, and any copy may be chosen then. A pending cancel of the first try is dropped, since it hit the second one (retry_at_the_only_copy failed without that).

--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -59,6 +59,7 @@
     BkMs deadline;
     BkTimer *timer; /* first-byte deadline, then pauses in mid-stream and
                        patience with the reader */
+    BkTimer *pause; /* before the only copy is tried again */
 
     BkClaimWish *wish;
     bool claimed;
@@ -113,6 +114,9 @@
 /* Chooses an upstream and sends. */
 void BkRelay_Send(BkRelay *relay);
 
+/* The pause is over: any copy may be tried, also the one that was cut. */
+void BkRelay_SendAgain(void *relay);
+
 /* Starts an attempt at this upstream, an index of the present bundle. */
 void BkAttempt_Start(BkRelay *relay, int up);
 
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -43,6 +43,8 @@
     relay->text = BkBuf_Make(entry->conf.resume_text);
     relay->timer = BkTimer_Create(entry->daemon->loop, on_timer, relay);
     BkTimer_Start(relay->timer, start->span);
+    relay->pause =
+        BkTimer_Create(entry->daemon->loop, BkRelay_SendAgain, relay);
     relay->next = entry->relays;
     if (relay->next != NULL) {
         relay->next->prev = relay;
@@ -90,6 +92,7 @@
     entry->relay_count--;
     BkCounter_Set(entry->counters.in_flight, entry->relay_count);
     BkTimer_Destroy(relay->timer);
+    BkTimer_Destroy(relay->pause);
     BkClaim_Clear(&relay->claim);
     BkBuf_Destroy(&relay->answer);
     BkBuf_Destroy(&relay->text);
@@ -154,6 +157,7 @@
     }
     relay->answered = true;
     BkTimer_Stop(relay->timer);
+    BkTimer_Stop(relay->pause);
 }
 
 /* the claim is given back only when nothing can have run */
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -1,6 +1,7 @@
 #include "bk/entry/relay.h"
 
 enum {
+    SAME_PAUSE_MS = 100,    /* before the only copy is tried again */
     SEARCH_PAUSE_MS = 200,  /* between looks for a copy in mid-stream */
     SEARCH_SPAN_MS = 60000, /* deadline of such a choice */
     RETRY_AFTER_MS = 1000   /* where nobody gave a better figure */
@@ -125,9 +126,12 @@
     entry->route.conf.senders = 1 + BkDaemon_CountPeers(daemon, BK_ROLE_ENTRY);
     BkRouteChoice choice =
         BkRoute_Choose(&entry->route, daemon->view, &query, now);
-    if (choice.status == BK_ENOTREADY && relay->try_same) {
-        query.tried_count = 0;
-        choice = BkRoute_Choose(&entry->route, daemon->view, &query, now);
+    if (choice.status == BK_ENOTREADY && relay->try_same && !relay->opened) {
+        /* by then another copy may be known, or this one be back; a cancel
+           would hit the next try at this one under the same id */
+        BkCancel_Drop(entry, relay->request);
+        BkTimer_Start(relay->pause, SAME_PAUSE_MS);
+        return;
     }
     if (choice.status == BK_OK) {
         relay->resuming = false;
@@ -144,3 +148,13 @@
         BkRelay_Fail(relay, choice.status, NULL, choice.retry_after);
     }
 }
+
+void
+BkRelay_SendAgain(void *arg)
+{
+    BkRelay *relay = arg;
+
+    relay->tried.count = 0;
+    relay->try_same = false;
+    BkRelay_Send(relay);
+}
