--- a/include/bk/entry/relay.h
+++ b/include/bk/entry/relay.h
@@ -57,7 +57,9 @@
     uint64_t prefix_hash;
     BkMs started;
     BkMs deadline;
-    BkTimer *timer; /* first-byte deadline, then pauses in mid-stream */
+    BkTimer *timer; /* first-byte deadline, then pauses in mid-stream and
+                       patience with the reader */
+    BkTimer *pause; /* before the only copy is tried again */
 
     BkClaimWish *wish;
     bool claimed;
@@ -69,7 +71,6 @@
     BkTried tried;
     bool ran_before;       /* an earlier attempt may have run */
     BkStatus last_failure; /* of the last attempt, as seen of all of them */
-    bool try_same;         /* it was cut, which says nothing of its upstream */
     bool from_ticket;      /* only holders of the stream can serve it */
     bool all_gone;         /* every holder asked so far said 404 */
     uint32_t up_key;       /* of the present or last attempt */
@@ -112,6 +113,9 @@
 /* Chooses an upstream and sends. */
 void BkRelay_Send(BkRelay *relay);
 
+/* The pause is over: any copy may be tried, also the one that was cut. */
+void BkRelay_SendAgain(void *relay);
+
 /* Starts an attempt at this upstream, an index of the present bundle. */
 void BkAttempt_Start(BkRelay *relay, int up);
 
--- a/src/entry/send.c
+++ b/src/entry/send.c
@@ -1,6 +1,7 @@
 #include "bk/entry/relay.h"
 
 enum {
+    EARLY_PAUSE_MS = 100,   /* between looks before the first byte */
     SEARCH_PAUSE_MS = 200,  /* between looks for a copy in mid-stream */
     SEARCH_SPAN_MS = 60000, /* deadline of such a choice */
     RETRY_AFTER_MS = 1000   /* where nobody gave a better figure */
@@ -24,21 +25,21 @@
 }
 
 /*
- * The copies that were known failed or have moved; the view learns of others
- * within a moment, and there is time left. The upstreams that were tried are
- * polled meanwhile and may be tried again.
+ * The copies that were known failed or have moved: within a moment the view
+ * may know of others, or one of these be back. False if there is no time.
  */
 static bool
 search_early(BkRelay *relay, BkMs now)
 {
-    bool in_time = now + SEARCH_PAUSE_MS < relay->deadline;
+    bool failed = relay->last_failure != BK_OK && !relay->opened;
 
-    if (!relay->repeatable || !in_time ||
+    if (!failed || now + EARLY_PAUSE_MS >= relay->deadline ||
         relay->tries >= relay->entry->conf.attempts) {
         return false;
     }
-    relay->tried.count = 0;
-    BkTimer_Start(relay->timer, SEARCH_PAUSE_MS);
+    /* a cancel would hit the next try there under the same id */
+    BkCancel_Drop(relay->entry, relay->request);
+    BkTimer_Start(relay->pause, EARLY_PAUSE_MS);
     return true;
 }
 
@@ -144,24 +145,16 @@
     entry->route.conf.senders = 1 + BkDaemon_CountPeers(daemon, BK_ROLE_ENTRY);
     BkRouteChoice choice =
         BkRoute_Choose(&entry->route, daemon->view, &query, now);
-    /* at once only one time: it may be gone for a moment */
-    if (choice.status == BK_ENOTREADY && relay->try_same && relay->tries < 2) {
-        query.tried_count = 0;
-        choice = BkRoute_Choose(&entry->route, daemon->view, &query, now);
+    if (choice.status == BK_ENOTREADY && search_early(relay, now)) {
+        return;
     }
     if (choice.status == BK_OK) {
         relay->resuming = false;
-        if (!relay->opened && !BkTimer_Running(relay->timer)) {
-            BkTimer_Start(relay->timer, relay->deadline - now);
-        }
         BkAttempt_Start(relay, choice.upstream);
     }
     else if (relay->opened) {
         search_on(relay, choice.status, choice.retry_after);
     }
-    else if (relay->last_failure != BK_OK && search_early(relay, now)) {
-        return;
-    }
     else if (relay->last_failure != BK_OK) {
         /* why there was no answer tells more than that no copy is left */
         BkRelay_Fail(relay, relay->last_failure, NULL, choice.retry_after);
@@ -170,3 +163,12 @@
         BkRelay_Fail(relay, choice.status, NULL, choice.retry_after);
     }
 }
+
+void
+BkRelay_SendAgain(void *arg)
+{
+    BkRelay *relay = arg;
+
+    relay->tried.count = 0;
+    BkRelay_Send(relay);
+}
