--- a/src/daemon/args.c
+++ b/src/daemon/args.c
@@ -34,7 +34,9 @@
     SPEC("daemon", "gossip_fanout", BK_SET_INT, gossip_fanout, "2", 1, 8,
          "peers told each period"),
     SPEC("daemon", "polls_per_second", BK_SET_INT, polls_per_second, "4", 1,
-         100, "upstreams polled a second"),
+         100, "upstreams polled a second, at most"),
+    SPEC("daemon", "poll_age", BK_SET_MS, poll_age, "1s", 50, 60000,
+         "age from which an upstream is polled again"),
     SPEC("daemon", "stale_after", BK_SET_MS, stale_after, "10s", 500, 120000,
          "age at which an observation is not used"),
     SPEC("daemon", "cut_off_after", BK_SET_MS, cut_off_after, "5s", 500,
@@ -130,7 +132,8 @@
 
 void
 BkDaemon_ParseArgs(int argc, char **argv, const char *program, const char *doc,
-                   const BkSettingSpec *specs, int spec_count, void *settings)
+                   const BkSettingSpec *specs, int spec_count, BkCheckFn check,
+                   void *settings)
 {
     char version[64];
     Args args = {0};
@@ -146,6 +149,11 @@
     if (status == BK_OK) {
         status = check_daemon(args.config, conf);
     }
+    if (status == BK_OK && check(settings) != BK_OK) {
+        char message[512];
+        snprintf(message, sizeof(message), "%s", BkErr_Last());
+        status = BkErr_Set(BK_ECONFIG, "%s: %s", args.config, message);
+    }
     if (status != BK_OK) {
         fprintf(stderr, "%s: %s\n", program, BkErr_Last());
         exit((int)status);
--- a/src/steward/engine.c
+++ b/src/steward/engine.c
@@ -137,6 +137,7 @@
     engine->reread = false;
     engine->dirty = false;
     engine->ask_now = true;
+    BkEngine_Step(engine, BkClock_Now());
 }
 
 static void
@@ -180,6 +181,7 @@
         engine->reread = true;
         forget_load(engine);
     }
+    BkEngine_Step(engine, BkClock_Now());
 }
 
 static void
@@ -213,6 +215,20 @@
     return true;
 }
 
+static void
+note_loaded(BkLedger *ledger, BkMs now)
+{
+    for (int i = 0; i < ledger->count; i++) {
+        BkEntry *entry = &ledger->entries[i];
+        if (entry->state != BK_ENTRY_LOADED) {
+            entry->loaded_at = 0;
+        }
+        else if (entry->loaded_at == 0) {
+            entry->loaded_at = now;
+        }
+    }
+}
+
 /* the state was asked when nothing else was under way */
 static void
 settle(BkEngine *engine, const BkUpView *seen, BkMs now)
@@ -231,6 +247,7 @@
     int settled =
         BkLedger_Settle(engine->ledger, BkEngine_Upstream(engine)->fencing,
                         engine->fence, &proof, engine->asked_at, now);
+    note_loaded(engine->ledger, now);
     engine->dirty |= changed || settled > 0;
     engine->ask_now = settled > 0;
     BkSends_Prune(steward, engine);
@@ -246,11 +263,13 @@
 
     if (!end_step(engine) || engine->up < 0 ||
         engine->asked_version != daemon->inforce.acting) {
+        engine->ask_now = true;
         return;
     }
     if (result->status != BK_OK || result->code != 200 ||
         BkView_TakeState(daemon->view, engine->up, body, now) != BK_OK) {
         BkView_TakeFailure(daemon->view, engine->up, now);
+        engine->ask_now = true;
         engine->wait_until = now + RETRY_MS;
         return;
     }
@@ -260,6 +279,7 @@
     engine->next_ask =
         now + (at_rest(engine->ledger) ? steward->conf->ask : ASK_BUSY_MS);
     BkOrder_Resend(engine, now);
+    BkEngine_Step(engine, now);
 }
 
 static void
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -281,9 +281,12 @@
 
     def item(self, kind, name, **keys):
         """A model, adapter or service of the bundle."""
-        self.items = [x for x in self.items if x[0] != kind + " " + name]
+        self.drop(kind, name)
         self.items.append((kind + " " + name, keys))
 
+    def drop(self, kind, name):
+        self.items = [x for x in self.items if x[0] != kind + " " + name]
+
     def model(self, name, version="1", size="1GiB", **keys):
         self.item("model", name, version=version, bytes=size, **keys)
 
@@ -293,12 +296,16 @@
                                                  "allow": allow, **keys}))
         return Caller(token)
 
-    def roll(self, why="proof", *words):
-        """Signs the bundle as described so far and brings it into force."""
-        self.write("bundle.ini", [("bundle", {"name": "proof"})] +
+    def sign(self, path="bundle.ini"):
+        """The bundle as described so far, signed; returns path."""
+        self.write(path, [("bundle", {"name": "proof"})] +
                    self.upstreams + self.items + self.callers)
-        self.ctl("bundle", "sign", "bundle.ini", "--key", "key")
-        said = self.ctl("bundle", "roll", "bundle.ini", "--replaces",
+        self.ctl("bundle", "sign", path, "--key", "key")
+        return path
+
+    def roll(self, why="proof", *words):
+        """Brings the bundle as described so far into force."""
+        said = self.ctl("bundle", "roll", self.sign(), "--replaces",
                         str(self.version), "--why", why, *words)
         self.version += 1
         return said
@@ -310,6 +317,7 @@
             "name": name, "domain": domain, "gossip": gossip, "ops": ops,
             "peers": peers, "signers": self.signer, "secret": self.secret,
             "gossip_period": "200ms", "polls_per_second": "20",
+            "poll_age": "50ms",
             "balancer_wait": "100ms"},
             "platform": {"address": self.platform.addr,
                          "poll_bundle": "200ms", "poll_vms": "200ms"},
@@ -338,6 +346,13 @@
         return self.daemon(name, "src/steward/bk-steward", "steward",
                            settings, domain)
 
+    def rows(self, table):
+        """All rows of a table of the platform: data by key."""
+        body = request(self.platform.addr, "GET",
+                       "/v1/rows?t=%s&p=&after=&limit=500" % table)[2]
+        return {row["k"]: json.loads(row["d"])
+                for row in json.loads(body)["rows"]}
+
     def restart(self, daemon):
         """A new start of a daemon that has ended, at the same addresses."""
         again = Daemon(self, daemon.name, daemon.program, daemon.settings,
