place: prepare a swap by another, and never swap what is to spare

A first cut that recursed swapped one item to and fro without end: its surplus copy took the room that another item waited for. Now all engines are tried by way (wait, one copy, prepare, part), 60 preparations a decision, and an item with a copy to spare is not swapped.

--- a/src/place/room.c
+++ b/src/place/room.c
@@ -8,7 +8,8 @@
 #define MEMORY_WEIGHT 0.5        /* of memory use against slot use */
 
 enum {
-    ROOMY = 8 /* times an item's bytes that are free in all */
+    SWAP_DEPTH = 2, /* swaps that prepare each other */
+    ROOMY = 8       /* times an item's bytes that are free in all */
 };
 
 static double
@@ -165,9 +166,42 @@
     return best;
 }
 
-/* a swap: a copy on up is made elsewhere, to be unloaded from up later */
 static bool
-start_swap(PlaceState *state, int up)
+is_movable(const PlaceState *state, const PlaceCopy *copy)
+{
+    return copy->item != NONE && copy->loaded && copy->ready &&
+           copy->current && !copy->going &&
+           !has_adapters_of(state, copy->item, copy->up);
+}
+
+/* one more copy of it would make no more room */
+static bool
+has_surplus(const PlaceState *state, int item)
+{
+    return state->items[item].have > state->items[item].least;
+}
+
+/* a copy on up that is being made elsewhere, and will go from here */
+static bool
+awaits_swap(const PlaceState *state, int up)
+{
+    int at = state->ups[up].first;
+
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (is_movable(state, copy) &&
+            state->items[copy->item].have >
+                state->items[copy->item].ready_current) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* a swap: a copy on up is made elsewhere, to be unloaded from up later; the
+ * smallest that frees what is missing */
+static bool
+start_swap(PlaceState *state, int up, uint64_t missing)
 {
     int best = NONE;
     int target = NONE;
@@ -175,17 +209,11 @@
 
     for (; at != NONE; at = state->copies[at].next_on_up) {
         const PlaceCopy *copy = &state->copies[at];
-        bool movable = copy->item != NONE && copy->loaded && copy->ready &&
-                       copy->current && !copy->going;
-        if (!movable || has_adapters_of(state, copy->item, up) ||
-            (best != NONE && copy->bytes <= state->copies[best].bytes)) {
+        if (!is_movable(state, copy) || has_surplus(state, copy->item) ||
+            copy->bytes < missing ||
+            (best != NONE && copy->bytes >= state->copies[best].bytes)) {
             continue;
         }
-        /* one that is being made elsewhere already is waited for */
-        if (state->items[copy->item].have >
-            state->items[copy->item].ready_current) {
-            return false;
-        }
         int found = place_pick_target(state, copy->item);
         if (found != NONE && found != up) {
             best = at;
@@ -197,26 +225,29 @@
                            "swaps places to make room");
 }
 
-/* where the most room can be made, though not enough */
-static int
-pick_swap(const PlaceState *state, int item, PlaceLevel level)
+/* the largest copy that fits elsewhere, though it does not free enough */
+static bool
+start_part(PlaceState *state, int up)
 {
     int best = NONE;
-    uint64_t most = 0;
+    int target = NONE;
+    int at = state->ups[up].first;
 
-    for (int up = 0; up < state->up_count; up++) {
-        int moves;
-        if (!may_host(state, item, up)) {
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (!is_movable(state, copy) || has_surplus(state, copy->item) ||
+            (best != NONE && copy->bytes <= state->copies[best].bytes)) {
             continue;
         }
-        uint64_t reach = place_evictable(state, up, level, &moves) +
-                         state->ups[up].room + state->ups[up].pending;
-        if (best == NONE || reach > most) {
-            best = up;
-            most = reach;
+        int found = place_pick_target(state, copy->item);
+        if (found != NONE && found != up) {
+            best = at;
+            target = found;
         }
     }
-    return best;
+    return best != NONE &&
+           place_plan_load(state, state->copies[best].item, target,
+                           "swaps places to make room");
 }
 
 static uint64_t
@@ -230,8 +261,62 @@
     return sum;
 }
 
-bool
-place_make_room(PlaceState *state, int item, PlaceLevel level)
+static bool make_room(PlaceState *state, int item, PlaceLevel level,
+                      int depth);
+
+/* room elsewhere for something on up, so that it can be swapped then */
+static bool
+prepare_swap(PlaceState *state, int up, uint64_t missing, int depth)
+{
+    int at = state->ups[up].first;
+
+    for (; at != NONE; at = state->copies[at].next_on_up) {
+        const PlaceCopy *copy = &state->copies[at];
+        if (is_movable(state, copy) && !has_surplus(state, copy->item) &&
+            copy->bytes >= missing && state->swap_tries-- > 0 &&
+            make_room(state, copy->item, LEVEL_SURPLUS, depth + 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* the ways to swap, each tried on every engine before the next */
+typedef enum SwapWay {
+    SWAP_WAIT,    /* for one that has begun */
+    SWAP_ONE,     /* one copy goes, and there is room */
+    SWAP_PREPARE, /* room elsewhere for such a copy */
+    SWAP_PART,    /* one of several copies that must go */
+    SWAP_WAYS
+} SwapWay;
+
+static bool
+try_swap(PlaceState *state, int item, int up, SwapWay way, int depth)
+{
+    const PlaceUp *place = &state->ups[up];
+    int moves;
+    uint64_t reach = place->room + place->pending +
+                     place_evictable(state, up, LEVEL_SURPLUS, &moves);
+    uint64_t bytes = place_item(state, item)->bytes;
+    uint64_t missing = bytes > reach ? bytes - reach : 0;
+
+    switch (way) {
+    case SWAP_WAIT:
+        return awaits_swap(state, up);
+    case SWAP_ONE:
+        return start_swap(state, up, missing);
+    case SWAP_PREPARE:
+        return prepare_swap(state, up, missing, depth);
+    case SWAP_PART:
+        return depth == 0 && start_part(state, up);
+    case SWAP_WAYS:
+        break;
+    }
+    return false;
+}
+
+static bool
+make_room(PlaceState *state, int item, PlaceLevel level, int depth)
 {
     uint64_t bytes = place_item(state, item)->bytes;
 
@@ -241,10 +326,27 @@
             return place_evict(state, up, bytes, (PlaceLevel)i);
         }
     }
-    /* for one copy more, a swap pays only while memory is not short */
-    if (state->items[item].have > 0 && free_room(state) < ROOMY * bytes) {
-        return false;
+    /* the tries of a decision are limited, so each begins elsewhere */
+    int start = (int)(state->in->now / BK_MS_PER_S % state->up_count);
+    for (int way = 0; way < SWAP_WAYS && depth < SWAP_DEPTH; way++) {
+        for (int i = 0; i < state->up_count; i++) {
+            int up = (start + i) % state->up_count;
+            if (may_host(state, item, up) &&
+                try_swap(state, item, up, (SwapWay)way, depth)) {
+                return true;
+            }
+        }
     }
-    int up = pick_swap(state, item, level);
-    return up != NONE && start_swap(state, up);
+    return false;
+}
+
+bool
+place_make_room(PlaceState *state, int item, PlaceLevel level)
+{
+    uint64_t bytes = place_item(state, item)->bytes;
+
+    /* for one copy more, a swap pays only while memory is not short */
+    bool short_of = free_room(state) < ROOMY * bytes;
+    bool may_swap = state->items[item].have == 0 || !short_of;
+    return make_room(state, item, level, may_swap ? 0 : SWAP_DEPTH);
 }
--- a/src/place/state.c
+++ b/src/place/state.c
@@ -4,6 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+enum {
+    SWAP_TRIES = 60
+};
+
 static PlaceCopy *
 add_copy(PlaceState *state, int item, int up)
 {
@@ -155,6 +159,7 @@
     state->items = BkMem_New((size_t)state->item_count, sizeof(PlaceItem));
     state->moves = moves;
     state->spare_worth = HUGE_VAL;
+    state->swap_tries = SWAP_TRIES;
     state->max = max;
     state->loads_left = conf->loads_at_once - input->loads_in_progress;
     if (state->loads_left > conf->loads_per_second) {
--- a/src/place/state.h
+++ b/src/place/state.h
@@ -60,6 +60,7 @@
     int max;
     int move_count;
     int loads_left;
+    int swap_tries;     /* left, of looking for a swap that prepares one */
     double spare_worth; /* slots a surplus copy may serve and still go */
     bool waiting;       /* room is being made for what must be there */
 } PlaceState;
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -219,8 +219,24 @@
     }
 }
 
-/* an unload of a model while an adapter (named x...) still stands there
- * beside no other copy of the model */
+/* whether the adapter of this name may need the model as its base; one that
+ * is not in force may need any */
+static bool
+may_need(const World *w, const char *adapter, const char *model)
+{
+    int index = BkBundle_FindItem(w->bundle, BkStr_FromC(adapter));
+
+    if (adapter[0] != 'x' || model[0] == 'x') {
+        return false;
+    }
+    if (index < 0) {
+        return true;
+    }
+    int base = w->bundle->items[index].base;
+    return strcmp(w->bundle->items[base].name, model) == 0;
+}
+
+/* an unload of a base beside its adapter and beside no other copy of it */
 static void
 check_bases(const World *w, const BkMove *move, BkBuf *out)
 {
@@ -231,10 +247,10 @@
     int models = 0;
 
     for (int i = 0; i < ledger->count; i++) {
-        adapters += ledger->entries[i].item[0] == 'x';
+        adapters += may_need(w, ledger->entries[i].item, item);
         models += strcmp(ledger->entries[i].item, item) == 0;
     }
-    if (item[0] != 'x' && adapters > 0 && models == 1) {
+    if (adapters > 0 && models == 1) {
         BkBuf_Printf(out, "BASE GONE\n");
     }
 }
@@ -432,6 +448,95 @@
 }
 END_TEST
 
+/* ten models and two adapters on four engines that are nearly full */
+static void
+add_random_bundle(World *w, BkRng *rng, const uint32_t *sizes)
+{
+    for (int i = 0; i < 4; i++) {
+        char name[8];
+        char *engine[] = {"engine", name, i < 2 ? "a" : "b", "9", NULL};
+        snprintf(name, sizeof(name), "e%d", i);
+        add_section(w, engine, 4);
+    }
+    for (int i = 0; i < 12; i++) {
+        char name[8];
+        char version[8];
+        char size[8];
+        bool adapter = i >= 10;
+        char *words[] = {
+            adapter ? "adapter" : "model", name, version, size, "1",
+            adapter ? "m1" : NULL,         NULL};
+        snprintf(name, sizeof(name), "%c%d", adapter ? 'x' : 'm', i % 10);
+        snprintf(version, sizeof(version), "%d", BkRng_Below(rng, 2));
+        snprintf(size, sizeof(size), "%d", adapter ? 1 : (int)sizes[i]);
+        add_section(w, words, adapter ? 6 : 5);
+    }
+    use_bundle(w);
+    observe_all(w);
+}
+
+static bool
+all_in_force(const World *w)
+{
+    for (int i = 0; i < w->bundle->item_count; i++) {
+        bool found = false;
+        for (int up = 0; up < w->view->count; up++) {
+            const BkInst *inst = BkView_FindReady(w->view, up, i);
+            const char *version = w->bundle->items[i].version;
+            found |= inst != NULL && strcmp(inst->version, version) == 0;
+        }
+        if (!found) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static uint32_t
+total(const uint32_t *sizes)
+{
+    uint32_t sum = 0;
+
+    for (int i = 0; i < 10; i++) {
+        sum += sizes[i];
+    }
+    return sum;
+}
+
+/* what is called feasible is placed and rolled, without a gap and an end */
+START_TEST(test_random_rolls)
+{
+    World w = {0};
+    int rolled = 0;
+
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        BkRng rng = BkRng_Make(seed);
+        BkBuf out = BkBuf_Make(0);
+        uint32_t sizes[10];
+        reset(&w);
+        for (int i = 0; i < 10; i++) {
+            sizes[i] = 1 + BkRng_Below(&rng, 4);
+        }
+        for (int roll = 0; roll < 4 && total(sizes) <= 34; roll++) {
+            add_random_bundle(&w, &rng, sizes);
+            if (BkPlace_Feasible(w.bundle, w.prev) != BK_OK) {
+                break;
+            }
+            settle(&w, &out);
+            ck_assert_msg(all_in_force(&w) &&
+                              strstr(BkBuf_C(&out), "UNREACHABLE") == NULL &&
+                              strstr(BkBuf_C(&out), "BASE GONE") == NULL,
+                          "seed %d, roll %d:\n%s", (int)seed, roll,
+                          BkBuf_C(&out));
+            rolled++;
+        }
+        BkBuf_Destroy(&out);
+    }
+    reset(&w);
+    ck_assert_int_gt(rolled, 200);
+}
+END_TEST
+
 /* a rise beyond chance counts at once and falls slowly; chance does not */
 START_TEST(test_demand)
 {
@@ -468,6 +573,7 @@
     TCase *tcase = tcase_create("place");
 
     tcase_add_test(tcase, test_script);
+    tcase_add_test(tcase, test_random_rolls);
     tcase_add_test(tcase, test_demand);
     suite_add_tcase(suite, tcase);
     SRunner *runner = srunner_create(suite);
