daemon: tell peers of the operators' drains

Now each message to a peer carries the latest reading with its age, and the later reading counts, so a drain can also be taken back.

--- a/include/bk/daemon/internal.h
+++ b/include/bk/daemon/internal.h
@@ -69,6 +69,17 @@
 BkUpstreamWatch *BkUpstreamWatch_Create(BkDaemon *daemon);
 void BkUpstreamWatch_Destroy(BkUpstreamWatch *watch);
 
+/*
+ * The operators' drains, as keys of upstreams, of which the latest reading
+ * counts, by whichever daemon it was made. Tell gives their number and sets
+ * *at to when they were read; -1 if there was no reading or they are more
+ * than max.
+ */
+int BkUpstreamWatch_TellDrains(const BkUpstreamWatch *watch, uint32_t *keys,
+                               int max, BkMs *at);
+void BkUpstreamWatch_TakeDrains(BkUpstreamWatch *watch, const uint32_t *keys,
+                                int count, BkMs at);
+
 /* The bundle and the view have been replaced. */
 void BkUpstreamWatch_NewView(BkUpstreamWatch *watch);
 
--- a/include/bk/gossip/gen/gossip_xdr.h
+++ b/include/bk/gossip/gen/gossip_xdr.h
@@ -16,6 +16,7 @@
 #define BKG_MAX_OBS 44
 #define BKG_MAX_DEMAND 64
 #define BKG_MAX_PEERS 4
+#define BKG_MAX_DRAINS 32
 #define BKG_NAME 64
 
 struct bkg_obs {
@@ -45,6 +46,11 @@
 	u_quad_t term;
 	char *planner;
 	u_int planner_age;
+	u_int drains_age;
+	struct {
+		u_int drains_len;
+		u_int *drains_val;
+	} drains;
 	struct {
 		u_int peers_len;
 		bkg_peer *peers_val;
--- a/src/daemon/hello.c
+++ b/src/daemon/hello.c
@@ -12,6 +12,7 @@
 
 #define AGE_LEAVING 0x80000000U
 #define AGE_MAX 0x7fffffff
+#define DRAINS_UNKNOWN 0xffffffffU
 
 static uint32_t
 cap_load(int load)
@@ -94,12 +95,28 @@
     return peer;
 }
 
+static void
+fill_drains(const BkDaemon *daemon, BkMs now, uint32_t *keys, bkg_hello *out)
+{
+    BkMs at = 0;
+    int count =
+        BkUpstreamWatch_TellDrains(daemon->watch, keys, BKG_MAX_DRAINS, &at);
+
+    out->drains_age = DRAINS_UNKNOWN;
+    if (count >= 0 && now - at < AGE_MAX) {
+        out->drains_age = (u_int)(now - at);
+        out->drains.drains_val = keys;
+        out->drains.drains_len = (u_int)count;
+    }
+}
+
 static void
 send_hellos(BkDaemon *daemon)
 {
     BkMs now = BkClock_Now();
     bkg_obs obs[BKG_MAX_OBS];
     bkg_peer peers[BKG_MAX_PEERS];
+    uint32_t drains[BKG_MAX_DRAINS];
     bkg_hello hello = {0};
 
     hello.daemon = daemon->conf->name;
@@ -119,6 +136,7 @@
     hello.planner_age = daemon->planner_at == BK_MS_NEVER
                             ? AGE_MAX
                             : (uint32_t)(now - daemon->planner_at);
+    fill_drains(daemon, now, drains, &hello);
     hello.peers.peers_val = peers;
     hello.peers.peers_len = (u_int)fill_peers(daemon, peers);
     hello.obs.obs_val = obs;
@@ -217,6 +235,11 @@
         }
     }
     take_planner(daemon, hello, now);
+    if (hello->drains_age != DRAINS_UNKNOWN) {
+        BkUpstreamWatch_TakeDrains(daemon->watch, hello->drains.drains_val,
+                                   (int)hello->drains.drains_len,
+                                   now - (BkMs)hello->drains_age);
+    }
     take_obs(daemon, hello, now);
     if (hello->current) {
         BkConfigSync_PeerNews(daemon->sync, hello->acting,
--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -17,7 +17,7 @@
     POLL_TIMEOUT_MS = 1000,
     MAX_STATE_BYTES = 256 * 1024,
     MAX_DRAINS = 500,
-    VM_READERS = 8, /* daemons that read the VM list in one poll_vms */
+    LIST_READERS = 8, /* daemons that read a list in one poll_vms */
     URL_BYTES = 128
 };
 
@@ -41,8 +41,10 @@
     Vm *vms;
     int vm_count;
     uint32_t round;
-    char **drained; /* names */
+    uint32_t *drained; /* keys of upstreams */
     int drained_count;
+    BkMs drained_at;   /* when they were read; BK_MS_NEVER: not yet */
+    BkMs drains_asked; /* start of the read in flight */
 };
 
 struct Poll {
@@ -145,10 +147,10 @@
 }
 
 static bool
-is_drained(const BkUpstreamWatch *watch, const char *name)
+is_drained(const BkUpstreamWatch *watch, uint32_t key)
 {
     for (int i = 0; i < watch->drained_count; i++) {
-        if (strcmp(watch->drained[i], name) == 0) {
+        if (watch->drained[i] == key) {
             return true;
         }
     }
@@ -176,10 +178,11 @@
         return;
     }
     for (int i = 0; i < daemon->view->count; i++) {
-        const char *name = daemon->bundle->upstreams[i].name;
-        const Vm *vm = find_vm(watch, name);
+        const BkUpstream *upstream = &daemon->bundle->upstreams[i];
+        const Vm *vm = find_vm(watch, upstream->name);
         bool out = vm != NULL && (!vm->listed || vm->leaving);
-        BkView_SetLeft(daemon->view, i, out || is_drained(watch, name));
+        BkView_SetLeft(daemon->view, i,
+                       out || is_drained(watch, upstream->key));
     }
 }
 
@@ -270,32 +273,50 @@
     json_decref(root);
 }
 
-static void
-clear_drained(BkUpstreamWatch *watch)
+int
+BkUpstreamWatch_TellDrains(const BkUpstreamWatch *watch, uint32_t *keys,
+                           int max, BkMs *at)
 {
+    if (watch->drained_at == BK_MS_NEVER || watch->drained_count > max) {
+        return -1;
+    }
     for (int i = 0; i < watch->drained_count; i++) {
-        free(watch->drained[i]);
+        keys[i] = watch->drained[i];
     }
-    free(watch->drained);
-    watch->drained = NULL;
-    watch->drained_count = 0;
+    *at = watch->drained_at;
+    return watch->drained_count;
+}
+
+void
+BkUpstreamWatch_TakeDrains(BkUpstreamWatch *watch, const uint32_t *keys,
+                           int count, BkMs at)
+{
+    if (watch->drained_at != BK_MS_NEVER && at <= watch->drained_at) {
+        return;
+    }
+    watch->drained_at = at;
+    watch->drained_count = count;
+    watch->drained =
+        BkMem_Grow(watch->drained, (size_t)count, sizeof(uint32_t));
+    for (int i = 0; i < count; i++) {
+        watch->drained[i] = keys[i];
+    }
+    apply_to_view(watch);
 }
 
 static void
 take_drains(const BkPlatReply *reply, void *arg)
 {
     BkUpstreamWatch *watch = arg;
+    uint32_t keys[MAX_DRAINS];
 
     if (reply->status != BK_OK && reply->status != BK_ENOTFOUND) {
         return;
     }
-    clear_drained(watch);
-    watch->drained = BkMem_New((size_t)reply->count, sizeof(char *));
     for (int i = 0; i < reply->count; i++) {
-        watch->drained[i] = BkStr_Dup(reply->rows[i].key);
+        keys[i] = BkBundle_Key(reply->rows[i].key);
     }
-    watch->drained_count = reply->count;
-    apply_to_view(watch);
+    BkUpstreamWatch_TakeDrains(watch, keys, reply->count, watch->drains_asked);
 }
 
 static BkMs
@@ -306,32 +327,37 @@
 }
 
 /*
- * The list grows with the system and so do its readers, so each reads it
- * more rarely the more daemons there are: together they still read it
- * several times in each poll_vms, and gossip tells the others who leaves.
+ * Each daemon reads the VM list and the drains more rarely the more daemons
+ * there are: together they still read them several times in each poll_vms,
+ * and gossip tells the others.
  */
+static BkMs
+shared_period(const BkUpstreamWatch *watch)
+{
+    BkDaemon *daemon = watch->daemon;
+    BkMs share = daemon->peers->count / LIST_READERS;
+
+    return jitter_period(daemon, daemon->conf->poll_vms) *
+           (share < 1 ? 1 : share);
+}
+
 static void
 read_vms(void *arg)
 {
     BkUpstreamWatch *watch = arg;
-    BkDaemon *daemon = watch->daemon;
-    BkMs share = daemon->peers->count / VM_READERS;
 
-    BkTimer_Start(watch->vms_timer,
-                  jitter_period(daemon, daemon->conf->poll_vms) *
-                      (share < 1 ? 1 : share));
-    BkPlat_Vms(daemon->plat, take_vms, watch);
+    BkTimer_Start(watch->vms_timer, shared_period(watch));
+    BkPlat_Vms(watch->daemon->plat, take_vms, watch);
 }
 
 static void
 read_drains(void *arg)
 {
     BkUpstreamWatch *watch = arg;
-    BkDaemon *daemon = watch->daemon;
 
-    BkTimer_Start(watch->drains_timer,
-                  jitter_period(daemon, daemon->conf->poll_vms));
-    BkPlat_List(daemon->plat, BK_STR("drain"), BK_STR(""), BK_STR(""),
+    BkTimer_Start(watch->drains_timer, shared_period(watch));
+    watch->drains_asked = BkClock_Now();
+    BkPlat_List(watch->daemon->plat, BK_STR("drain"), BK_STR(""), BK_STR(""),
                 MAX_DRAINS, take_drains, watch);
 }
 
@@ -341,6 +367,7 @@
     BkUpstreamWatch *watch = BkMem_New(1, sizeof(*watch));
 
     watch->daemon = daemon;
+    watch->drained_at = BK_MS_NEVER;
     watch->poll_timer = BkTimer_Create(daemon->loop, poll_some, watch);
     watch->vms_timer = BkTimer_Create(daemon->loop, read_vms, watch);
     watch->drains_timer = BkTimer_Create(daemon->loop, read_drains, watch);
@@ -360,7 +387,7 @@
         BkHttpCall_Cancel(watch->in_flight->call);
         free_poll(watch->in_flight);
     }
-    clear_drained(watch);
+    free(watch->drained);
     for (int i = 0; i < watch->vm_count; i++) {
         free(watch->vms[i].name);
     }
--- a/src/gossip/gen/gossip_xdr.c
+++ b/src/gossip/gen/gossip_xdr.c
@@ -108,6 +108,11 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->planner_age))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->drains_age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->drains.drains_val, (u_int *) &objp->drains.drains_len, BKG_MAX_DRAINS,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->peers.peers_val, (u_int *) &objp->peers.peers_len, BKG_MAX_PEERS,
 		sizeof (bkg_peer), (xdrproc_t) xdr_bkg_peer))
 		 return FALSE;
--- a/src/gossip/gossip.x
+++ b/src/gossip/gossip.x
@@ -5,6 +5,7 @@
 const BKG_MAX_OBS = 44;
 const BKG_MAX_DEMAND = 64;
 const BKG_MAX_PEERS = 4;
+const BKG_MAX_DRAINS = 32;
 const BKG_NAME = 64;
 
 struct bkg_obs {
@@ -32,6 +33,8 @@
     unsigned hyper term;          /* highest planner term heard of */
     string planner<BKG_NAME>;     /* steward that holds it */
     unsigned int planner_age;     /* since the planner was last heard */
+    unsigned int drains_age;      /* since the drains were read; ~0: unknown */
+    unsigned int drains<BKG_MAX_DRAINS>; /* keys of drained upstreams */
     bkg_peer peers<BKG_MAX_PEERS>; /* a random few that it knows */
     bkg_obs obs<BKG_MAX_OBS>;
 };
--- a/tests/proof/case_leaving.py
+++ b/tests/proof/case_leaving.py
@@ -118,6 +118,20 @@
     await_usable(world, doors, engines)
 
 
+@case
+def leaving_by_drain_told_by_peers(world):
+    """An entry that starts while the platform is out learns of a drain from
+    its peers: the latest reading counts, by whichever daemon."""
+    _, doors, caller, fake = serve(world, 3)
+    world.ctl("drain", fake.name, "--why", "proof")
+    await_word(fake, doors)
+    world.platform.set(outage=True)
+    doors[2].kill()
+    doors[2] = world.restart(doors[2])
+    world.await_ready(doors[2])
+    judge(fake, doors, caller)
+
+
 @case
 def leaving_gets_no_load(world):
     """A roll loads nothing at an engine that has said that it leaves."""
