proof: give each case a name of its own

Two files had a case platform_out, and the one about reachability never ran: the registry kept the other one under both.

--- a/tests/proof/basics.py
+++ b/tests/proof/basics.py
@@ -15,7 +15,10 @@
 
 def case(function):
     """Registers a proof; its docstring names the guard that it proves."""
-    CASES[function.__name__] = function
+    name = function.__name__
+    if name in CASES:
+        raise SystemExit("two cases are named " + name)
+    CASES[name] = function
     return function
 
 
--- a/tests/proof/case_reachable.py
+++ b/tests/proof/case_reachable.py
@@ -152,7 +152,7 @@
 
 
 @case
-def platform_out(world):
+def reachable_while_platform_out(world):
     """The platform is out: the planner may not renew and orders nothing,
     all copies stay; an engine dies meanwhile. Afterwards it goes on."""
     engines, doors = serve(world, "abc")
