tests: one main for all unit tests

Every test_*.c ended with the same suite, case and runner. BkUnit_Main in script.c does it from a list of tests; BkUnit_MainWithin also takes the limit of a test, since net and platform (50 s) and ledger_model (none) had their own: one limit for all would have changed a bound.

--- a/tests/unit/script.c
+++ b/tests/unit/script.c
@@ -1,6 +1,5 @@
 #include "script.h"
 
-#include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -83,3 +82,30 @@
     free(script);
     BkBuf_Destroy(&out);
 }
+
+int
+BkUnit_MainWithin(const char *name, const TTest *const *tests, int count,
+                  double seconds)
+{
+    Suite *suite = suite_create(name);
+    TCase *tcase = tcase_create(name);
+
+    if (seconds >= 0) {
+        tcase_set_timeout(tcase, seconds);
+    }
+    for (int i = 0; i < count; i++) {
+        tcase_add_test(tcase, tests[i]);
+    }
+    suite_add_tcase(suite, tcase);
+    SRunner *runner = srunner_create(suite);
+    srunner_run_all(runner, CK_NORMAL);
+    int failed = srunner_ntests_failed(runner);
+    srunner_free(runner);
+    return failed == 0 ? 0 : 1;
+}
+
+int
+BkUnit_Main(const char *name, const TTest *const *tests, int count)
+{
+    return BkUnit_MainWithin(name, tests, count, -1);
+}
--- a/tests/unit/script.h
+++ b/tests/unit/script.h
@@ -10,6 +10,8 @@
 #ifndef BK_TESTS_SCRIPT_H
 #define BK_TESTS_SCRIPT_H
 
+#include <check.h>
+
 #include "bk/base/str.h"
 
 enum {
@@ -21,4 +23,12 @@
 
 void BkScript_Run(const char *name, BkScriptFn fn, void *arg);
 
+/* The main of a test program: runs the tests as one suite and case called
+   name, each within check's default timeout. 0 if all passed, else 1. */
+int BkUnit_Main(const char *name, const TTest *const *tests, int count);
+
+/* The same within so many seconds a test; 0 for no limit. */
+int BkUnit_MainWithin(const char *name, const TTest *const *tests, int count,
+                      double seconds);
+
 #endif
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -206,17 +206,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("base");
-    TCase *tcase = tcase_create("base");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_buffer_limit);
-    tcase_add_test(tcase, test_counters);
-    tcase_add_test(tcase, test_loop);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_buffer_limit,
+                                  test_counters, test_loop};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("base", tests, count);
 }
--- a/tests/unit/test_bundle.c
+++ b/tests/unit/test_bundle.c
@@ -223,17 +223,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("bundle");
-    TCase *tcase = tcase_create("bundle");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_callers);
-    tcase_add_test(tcase, test_limits);
-    tcase_add_test(tcase, test_signature);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_callers, test_limits,
+                                  test_signature};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("bundle", tests, count);
 }
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -425,17 +425,9 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("claim");
-    TCase *tcase = tcase_create("claim");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_patience);
-    tcase_add_test(tcase, test_store_down);
-    tcase_add_test(tcase, test_codec);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_patience, test_store_down,
+                                  test_codec};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("claim", tests, count);
 }
--- a/tests/unit/test_entry.c
+++ b/tests/unit/test_entry.c
@@ -189,15 +189,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("entry");
-    TCase *tcase = tcase_create("entry");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_ticket);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_ticket};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("entry", tests, count);
 }
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -9,6 +9,8 @@
 #include "bk/base/rng.h"
 #include "bk/gossip/gossip.h"
 
+#include "script.h"
+
 enum {
     GARBAGE_COUNT = 500,
     GARBAGE_MAX = 2000,
@@ -117,14 +119,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("gossip");
-    TCase *tcase = tcase_create("gossip");
-
-    tcase_add_test(tcase, test_messages_and_garbage);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_messages_and_garbage};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("gossip", tests, count);
 }
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -150,15 +150,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("lease");
-    TCase *tcase = tcase_create("lease");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_fence);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_fence};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("lease", tests, count);
 }
--- a/tests/unit/test_ledger_model.c
+++ b/tests/unit/test_ledger_model.c
@@ -6,6 +6,8 @@
 
 #include "bk/ledger/ledger.h"
 
+#include "script.h"
+
 /*
  * Breadth-first over everything that two stewards, one engine with room for
  * one copy, and the network between them can do, with the real functions of
@@ -627,17 +629,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("ledger_model");
-    TCase *tcase = tcase_create("ledger_model");
-
-    tcase_set_timeout(tcase, 0);
-    tcase_add_test(tcase, test_ignored);
-    tcase_add_test(tcase, test_checked);
-    tcase_add_test(tcase, test_guards);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_ignored, test_checked, test_guards};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_MainWithin("ledger_model", tests, count, 0);
 }
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -11,6 +11,8 @@
 #include "bk/net/http_client.h"
 #include "bk/net/http_server.h"
 
+#include "script.h"
+
 enum {
     MAX_BODY = 4096,
     MAX_HEADER = 8192,
@@ -504,25 +506,18 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("net");
-    TCase *tcase = tcase_create("net");
-
-    tcase_set_timeout(tcase, 50);
-    tcase_add_test(tcase, test_exchange);
-    tcase_add_test(tcase, test_oversized_body);
-    tcase_add_test(tcase, test_stream_back_pressure);
-    tcase_add_test(tcase, test_cut_stream_is_seen);
-    tcase_add_test(tcase, test_caller_gone);
-    tcase_add_test(tcase, test_destroy_while_held);
-    tcase_add_test(tcase, test_nothing_sent);
-    tcase_add_test(tcase, test_large_headers);
-    tcase_add_test(tcase, test_cut_body);
-    tcase_add_test(tcase, test_reading_is_active);
-    tcase_add_test(tcase, test_never_sent_twice);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_exchange,
+                                  test_oversized_body,
+                                  test_stream_back_pressure,
+                                  test_cut_stream_is_seen,
+                                  test_caller_gone,
+                                  test_destroy_while_held,
+                                  test_nothing_sent,
+                                  test_large_headers,
+                                  test_cut_body,
+                                  test_reading_is_active,
+                                  test_never_sent_twice};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_MainWithin("net", tests, count, 50);
 }
--- a/tests/unit/test_place.c
+++ b/tests/unit/test_place.c
@@ -569,16 +569,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("place");
-    TCase *tcase = tcase_create("place");
-
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_random_rolls);
-    tcase_add_test(tcase, test_demand);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_random_rolls, test_demand};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("place", tests, count);
 }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -181,16 +181,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("platform");
-    TCase *tcase = tcase_create("platform");
-
-    tcase_set_timeout(tcase, 50);
-    tcase_add_test(tcase, test_script);
-    tcase_add_test(tcase, test_full_transaction);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script, test_full_transaction};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_MainWithin("platform", tests, count, 50);
 }
--- a/tests/unit/test_view.c
+++ b/tests/unit/test_view.c
@@ -157,14 +157,8 @@
 int
 main(void)
 {
-    Suite *suite = suite_create("view");
-    TCase *tcase = tcase_create("view");
-
-    tcase_add_test(tcase, test_script);
-    suite_add_tcase(suite, tcase);
-    SRunner *runner = srunner_create(suite);
-    srunner_run_all(runner, CK_NORMAL);
-    int failed = srunner_ntests_failed(runner);
-    srunner_free(runner);
-    return failed == 0 ? 0 : 1;
+    const TTest *const tests[] = {test_script};
+    int count = sizeof(tests) / sizeof(tests[0]);
+
+    return BkUnit_Main("view", tests, count);
 }
