--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -82,7 +82,7 @@
 
 typedef struct BkRelay BkRelay;
 typedef struct BkCancel BkCancel;
-typedef struct BkDemand BkDemand;
+typedef struct BkEntryDemand BkEntryDemand;
 
 typedef struct BkEntry {
     BkEntryConf conf;
@@ -94,7 +94,7 @@
     BkFair *fair; /* NULL before the first bundle */
     BkRetryBudget budget;
     BkEntryCounters counters;
-    BkDemand *demand;
+    BkEntryDemand *demand;
     unsigned char ticket_key[BK_TICKET_KEY_BYTES];
     BkRelay *relays; /* all in progress */
     int relay_count;
@@ -130,9 +130,10 @@
 bool BkCancel_TakeResumed(BkEntry *entry, BkHttpReq *req);
 
 /* Requests per item, told to the stewards every few seconds. */
-BkDemand *BkDemand_Create(BkDaemon *daemon);
-void BkDemand_Destroy(BkDemand *demand);
-void BkDemand_NoteRequest(BkDemand *demand, const char *item);
-void BkDemand_NoteBusy(BkDemand *demand, const char *item, BkMs busy);
+BkEntryDemand *BkEntryDemand_Create(BkDaemon *daemon);
+void BkEntryDemand_Destroy(BkEntryDemand *demand);
+void BkEntryDemand_NoteRequest(BkEntryDemand *demand, const char *item);
+void BkEntryDemand_NoteBusy(BkEntryDemand *demand, const char *item,
+                            BkMs busy);
 
 #endif
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -96,8 +96,8 @@
         return;
     }
     relay->on_upstream = false;
-    BkDemand_NoteBusy(relay->entry->demand, relay->item,
-                      BkClock_Now() - relay->sent_at);
+    BkEntryDemand_NoteBusy(relay->entry->demand, relay->item,
+                           BkClock_Now() - relay->sent_at);
     int up = BkBundle_FindUpstreamKey(daemon->bundle, relay->up_key);
     if (up >= 0) {
         BkRoute_Finished(daemon->view, up);
--- a/src/entry/demand.c
+++ b/src/entry/demand.c
@@ -12,7 +12,7 @@
     uint64_t told; /* requests as of the last message */
 } Row;
 
-struct BkDemand {
+struct BkEntryDemand {
     BkDaemon *daemon;
     BkTimer *timer;
     Row *rows; /* sorted by key */
@@ -22,7 +22,7 @@
 };
 
 static Row *
-find_row(BkDemand *demand, const char *item)
+find_row(BkEntryDemand *demand, const char *item)
 {
     uint32_t key = BkBundle_Key(BkStr_FromC(item));
     int low = 0;
@@ -56,7 +56,7 @@
 static void
 send_demand(void *arg)
 {
-    BkDemand *demand = arg;
+    BkEntryDemand *demand = arg;
     BkDaemon *daemon = demand->daemon;
     bkg_demand_row rows[BKG_MAX_DEMAND];
     bkg_demand message = {.daemon = daemon->conf->name,
@@ -81,10 +81,10 @@
     BkTimer_Start(demand->timer, DEMAND_PERIOD_MS);
 }
 
-BkDemand *
-BkDemand_Create(BkDaemon *daemon)
+BkEntryDemand *
+BkEntryDemand_Create(BkDaemon *daemon)
 {
-    BkDemand *demand = BkMem_New(1, sizeof(*demand));
+    BkEntryDemand *demand = BkMem_New(1, sizeof(*demand));
 
     demand->daemon = daemon;
     demand->timer = BkTimer_Create(daemon->loop, send_demand, demand);
@@ -93,7 +93,7 @@
 }
 
 void
-BkDemand_Destroy(BkDemand *demand)
+BkEntryDemand_Destroy(BkEntryDemand *demand)
 {
     if (demand != NULL) {
         BkTimer_Destroy(demand->timer);
@@ -103,13 +103,13 @@
 }
 
 void
-BkDemand_NoteRequest(BkDemand *demand, const char *item)
+BkEntryDemand_NoteRequest(BkEntryDemand *demand, const char *item)
 {
     find_row(demand, item)->sums.requests++;
 }
 
 void
-BkDemand_NoteBusy(BkDemand *demand, const char *item, BkMs busy)
+BkEntryDemand_NoteBusy(BkEntryDemand *demand, const char *item, BkMs busy)
 {
     find_row(demand, item)->sums.busy_ms += (uint64_t)busy;
 }
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -120,7 +120,7 @@
         .per_request = conf->retry_share,
         .most = BUDGET_MOST,
     };
-    entry->demand = BkDemand_Create(entry->daemon);
+    entry->demand = BkEntryDemand_Create(entry->daemon);
     entry->stop_timer =
         BkTimer_Create(entry->daemon->loop, look_whether_done, entry);
     return start_server(entry);
@@ -136,7 +136,7 @@
     BkCancel_DropAll(entry);
     BkClaimSweep_Destroy(entry->sweep);
     BkClaimBook_Destroy(entry->book);
-    BkDemand_Destroy(entry->demand);
+    BkEntryDemand_Destroy(entry->demand);
     BkTimer_Destroy(entry->stop_timer);
     BkRoute_Destroy(&entry->route);
     BkFair_Destroy(entry->fair);
--- a/src/entry/relay.c
+++ b/src/entry/relay.c
@@ -345,7 +345,7 @@
         BkRelay_Fail(relay, status, BkErr_Last(), retry_after);
         return;
     }
-    BkDemand_NoteRequest(entry->demand, relay->item);
+    BkEntryDemand_NoteRequest(entry->demand, relay->item);
     BkRetryBudget_Earn(&entry->budget);
     if (start->ticket != NULL) {
         start_resume(relay, start);
