bundle: one binary search for items, upstreams and keys

The three finders repeated the same loop. It saves repetition, hardly any lines: three comparisons take the place of two loops.

--- a/src/bundle/lookup.c
+++ b/src/bundle/lookup.c
@@ -4,16 +4,20 @@
 
 #include "bk/bundle/bundle.h"
 
-int
-BkBundle_FindItem(const BkBundle *bundle, BkStr name)
+typedef int (*CompareFn)(const BkBundle *bundle, int at, const void *sought);
+
+/* the place in 0..count-1, which stand in order, that equals what is sought;
+   or -1 */
+static int
+search(const BkBundle *bundle, int count, CompareFn compare,
+       const void *sought)
 {
     int low = 0;
-    int high = bundle->item_count;
+    int high = count;
 
     while (low < high) {
         int middle = low + (high - low) / 2;
-        BkStr at = BkStr_FromC(bundle->items[middle].name);
-        int order = BkStr_Compare(name, at);
+        int order = compare(bundle, middle, sought);
         if (order == 0) {
             return middle;
         }
@@ -27,50 +31,49 @@
     return -1;
 }
 
+static int
+compare_item(const BkBundle *bundle, int at, const void *sought)
+{
+    const BkStr *name = sought;
+
+    return BkStr_Compare(*name, BkStr_FromC(bundle->items[at].name));
+}
+
+static int
+compare_upstream(const BkBundle *bundle, int at, const void *sought)
+{
+    const BkStr *name = sought;
+
+    return BkStr_Compare(*name, BkStr_FromC(bundle->upstreams[at].name));
+}
+
+static int
+compare_key(const BkBundle *bundle, int at, const void *sought)
+{
+    uint32_t key = *(const uint32_t *)sought;
+    uint32_t there = bundle->upstreams[bundle->upstreams_by_key[at]].key;
+
+    return (key > there) - (key < there);
+}
+
 int
-BkBundle_FindUpstream(const BkBundle *bundle, BkStr name)
+BkBundle_FindItem(const BkBundle *bundle, BkStr name)
 {
-    int low = 0;
-    int high = bundle->upstream_count;
+    return search(bundle, bundle->item_count, compare_item, &name);
+}
 
-    while (low < high) {
-        int middle = low + (high - low) / 2;
-        BkStr at = BkStr_FromC(bundle->upstreams[middle].name);
-        int order = BkStr_Compare(name, at);
-        if (order == 0) {
-            return middle;
-        }
-        if (order < 0) {
-            high = middle;
-        }
-        else {
-            low = middle + 1;
-        }
-    }
-    return -1;
+int
+BkBundle_FindUpstream(const BkBundle *bundle, BkStr name)
+{
+    return search(bundle, bundle->upstream_count, compare_upstream, &name);
 }
 
 int
 BkBundle_FindUpstreamKey(const BkBundle *bundle, uint32_t key)
 {
-    int low = 0;
-    int high = bundle->upstream_count;
+    int at = search(bundle, bundle->upstream_count, compare_key, &key);
 
-    while (low < high) {
-        int middle = low + (high - low) / 2;
-        int index = bundle->upstreams_by_key[middle];
-        uint32_t at = bundle->upstreams[index].key;
-        if (key == at) {
-            return index;
-        }
-        if (key < at) {
-            high = middle;
-        }
-        else {
-            low = middle + 1;
-        }
-    }
-    return -1;
+    return at < 0 ? -1 : bundle->upstreams_by_key[at];
 }
 
 int
