entry: add the setting report_lag

Admission ages a report by how late the upstreams' reports are (BkRouteConf.report_lag), but bk-entry never set it: reports counted as fresh, so what the other entries sent within that lag was left out.

No test of its own: the use of report_lag is in route, the key is one line of the tables.

--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -35,6 +35,7 @@
     BkMs resume_within;   /* longest search for a copy in mid-stream */
     BkMs first_byte;      /* estimates for admission */
     BkMs service_time;
+    BkMs report_lag; /* how late the reports of upstreams are */
     double affinity_slack;
     int64_t most_in_flight;
     int64_t attempts;
--- a/src/entry/entry.c
+++ b/src/entry/entry.c
@@ -66,6 +66,7 @@
         .stale_after = conf->daemon.stale_after,
         .service_time = conf->service_time,
         .first_byte = conf->first_byte,
+        .report_lag = conf->report_lag,
         .affinity_slack = conf->affinity_slack,
     };
 }
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -41,6 +41,8 @@
         "estimate from a free slot to the first byte"),
     KEY("service_time", BK_SET_MS, service_time, "2s", 1, 3600000,
         "estimate of one request on a free slot"),
+    KEY("report_lag", BK_SET_MS, report_lag, "200ms", 0, 600000,
+        "how late the reports of upstreams are"),
     KEY("affinity_slack", BK_SET_REAL, affinity_slack, "0.25", 0, 10000,
         "how much fuller a copy may be and be chosen for its prefix"),
     KEY("most_in_flight", BK_SET_INT, most_in_flight, "1024", 1, 60000,
