--- /dev/null
+++ b/src/net/http_options.c
@@ -0,0 +1,208 @@
+#include "client.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+
+enum {
+    DEFAULT_CONNECT_TIMEOUT = 1000, /* ms */
+    USER_TIMEOUT = 10000,           /* ms that sent bytes stay unconfirmed */
+    READ_BUFFER = 8 * 1024,         /* bytes */
+    WRITE_BUFFER = 16 * 1024        /* bytes; libcurl's smallest */
+};
+
+static size_t
+take_data(char *ptr, size_t size, size_t count, void *arg)
+{
+    BkHttpCall *call = arg;
+    BkStr data = {ptr, size * count};
+
+    if (call->state != CALL_RUNNING) {
+        return 0;
+    }
+    call->last_byte = BkClock_Now();
+    if (call->fetch != NULL) {
+        call->too_big = BkBuf_Append(&call->fetched, data) != BK_OK;
+        return call->too_big ? 0 : data.len;
+    }
+    if (call->spec.on_data != NULL &&
+        !call->spec.on_data(call, data, call->spec.arg)) {
+        call->paused = call->state == CALL_RUNNING;
+        return call->paused ? CURL_WRITEFUNC_PAUSE : 0;
+    }
+    return call->state == CALL_RUNNING ? data.len : 0;
+}
+
+static void
+begin_head(BkHttpCall *call, BkStr line)
+{
+    uint64_t code = 0;
+
+    BkStr_Split(&line, ' ');
+    BkStr_ToU64(BkStr_Split(&line, ' '), &code);
+    call->code = (int)code;
+    call->framed = code == 204 || code == 304 || call->bodiless;
+}
+
+static void
+take_header(BkHttpCall *call, BkStr line)
+{
+    BkStr name = BkStr_Split(&line, ':');
+    BkStr value = BkStr_Trim(line);
+
+    if ((name.len == 14 && strncasecmp(name.ptr, "Content-Length", 14) == 0) ||
+        (name.len == 17 &&
+         strncasecmp(name.ptr, "Transfer-Encoding", 17) == 0)) {
+        call->framed = true;
+    }
+    if (call->spec.on_header != NULL && call->code >= 200) {
+        call->spec.on_header(call, name, value, call->spec.arg);
+    }
+}
+
+static size_t
+take_head_line(char *ptr, size_t size, size_t count, void *arg)
+{
+    BkHttpCall *call = arg;
+    BkStr line = BkStr_Trim((BkStr){ptr, size * count});
+
+    if (call->state != CALL_RUNNING) {
+        return 0;
+    }
+    call->last_byte = BkClock_Now();
+    if (call->head_done) { /* a trailer */
+        return size * count;
+    }
+    if (BkStr_StartsWith(line, BK_STR("HTTP/"))) {
+        begin_head(call, line);
+    }
+    else if (line.len > 0) {
+        take_header(call, line);
+    }
+    else if (call->code >= 200) {
+        call->head_done = true;
+        if (call->spec.on_head != NULL) {
+            call->spec.on_head(call, call->code, call->spec.arg);
+        }
+    }
+    return call->state == CALL_RUNNING ? size * count : 0;
+}
+
+static int
+tune_socket(void *arg, curl_socket_t fd, curlsocktype purpose)
+{
+    unsigned ms = USER_TIMEOUT;
+
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof(ms));
+    return CURL_SOCKOPT_OK;
+}
+
+/* libcurl sends a request again, silently, when a pooled connection is closed
+   under it; the first one may have run, which a refusal of the second one
+   would hide */
+static int
+allow_send(void *arg, char *far_ip, char *near_ip, int far_port, int near_port)
+{
+    BkHttpCall *call = arg;
+    long request = 0;
+
+    curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &request);
+    return request > 0 && !call->may_repeat ? CURL_PREREQFUNC_ABORT
+                                            : CURL_PREREQFUNC_OK;
+}
+
+bool
+http_is_numeric(const char *url)
+{
+    BkStr rest = BkStr_FromC(url);
+    char host[INET_ADDRSTRLEN];
+    struct in_addr address;
+
+    if (!BkStr_StartsWith(rest, BK_STR("http://"))) {
+        return false;
+    }
+    rest.ptr += strlen("http://");
+    rest.len -= strlen("http://");
+    rest = BkStr_Split(&rest, '/');
+    BkStr ip = BkStr_Split(&rest, ':');
+    if (ip.len >= sizeof(host)) {
+        return false;
+    }
+    memcpy(host, ip.ptr, ip.len);
+    host[ip.len] = '\0';
+    return inet_pton(AF_INET, host, &address) == 1;
+}
+
+static void
+set_headers(BkHttpCall *call, const BkHttpSpec *spec)
+{
+    bool typed = false;
+
+    call->headers = curl_slist_append(NULL, "Expect:");
+    for (int i = 0; spec->headers != NULL && spec->headers[i] != NULL; i++) {
+        typed |= strncasecmp(spec->headers[i], "Content-Type:", 13) == 0;
+        call->headers = curl_slist_append(call->headers, spec->headers[i]);
+    }
+    if (!typed) { /* libcurl would claim a form */
+        call->headers = curl_slist_append(call->headers, "Content-Type:");
+    }
+    curl_easy_setopt(call->easy, CURLOPT_HTTPHEADER, call->headers);
+}
+
+static void
+set_method(BkHttpCall *call, const char *method)
+{
+    CURL *easy = call->easy;
+
+    if (strcmp(method, "HEAD") == 0) {
+        call->bodiless = true;
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+        return;
+    }
+    if (call->body.len > 0 || strcmp(method, "POST") == 0 ||
+        strcmp(method, "PUT") == 0) {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                         (curl_off_t)call->body.len);
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, BkBuf_C(&call->body));
+    }
+    if (strcmp(method, "GET") != 0 || call->body.len > 0) {
+        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
+    }
+}
+
+void
+http_set_options(BkHttpCall *call, const BkHttpSpec *spec)
+{
+    CURL *easy = call->easy;
+    BkMs connect = spec->connect_timeout > 0 ? spec->connect_timeout
+                                             : DEFAULT_CONNECT_TIMEOUT;
+
+    curl_easy_setopt(easy, CURLOPT_URL, spec->url);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, call);
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+    curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, tune_socket);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, allow_send);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, call);
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, (long)READ_BUFFER);
+    curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, (long)WRITE_BUFFER);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect);
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)spec->timeout);
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, take_data);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, call);
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, take_head_line);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, call);
+    if (spec->once) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    set_method(call, spec->method);
+    set_headers(call, spec);
+}
