--- a/include/bk/base/settings.h
+++ b/include/bk/base/settings.h
@@ -46,6 +46,13 @@
     const char *help;
 } BkSettingSpec;
 
+/* An entry of a table for the struct Conf: the section, the key, its type,
+   the field, the fallback, min, max, and the help. */
+#define BK_SETTING(Conf, section, key, type, field, fallback, min, max, help) \
+    {                                                                         \
+        section, key, type, offsetof(Conf, field), fallback, min, max, help   \
+    }
+
 /*
  * Reads the file at path into the struct at target (zeroed by the caller).
  * ERRORS: BK_ECONFIG with "path:line: [section] key: ..." as the message;
--- a/include/bk/daemon/daemon.h
+++ b/include/bk/daemon/daemon.h
@@ -53,8 +53,10 @@
 } BkDaemonConf;
 
 /* Their specs, with offsets from the start of BkDaemonConf, which must stand
- * first in a program's settings struct. */
-const BkSettingSpec *BkDaemon_Specs(int *count);
+ * first in a program's settings struct, followed by the program's own. The
+ * caller frees the table. */
+BkSettingSpec *BkDaemon_JoinSpecs(const BkSettingSpec *own, int own_count,
+                                  int *count);
 
 typedef struct BkDaemon BkDaemon;
 
--- a/src/daemon/args.c
+++ b/src/daemon/args.c
@@ -6,11 +6,7 @@
 #include "bk/base/log.h"
 #include "bk/daemon/daemon.h"
 
-#define SPEC(section, key, type, field, fallback, min, max, help)             \
-    {                                                                         \
-        section, key, type, offsetof(BkDaemonConf, field), fallback, min,     \
-            max, help                                                         \
-    }
+#define SPEC(...) BK_SETTING(BkDaemonConf, __VA_ARGS__)
 
 static const BkSettingSpec daemon_specs[] = {
     SPEC("daemon", "name", BK_SET_TEXT, name, NULL, 0, 0,
@@ -57,11 +53,17 @@
     SECRET_DIGITS = 64
 };
 
-const BkSettingSpec *
-BkDaemon_Specs(int *count)
+BkSettingSpec *
+BkDaemon_JoinSpecs(const BkSettingSpec *own, int own_count, int *count)
 {
-    *count = (int)(sizeof(daemon_specs) / sizeof(daemon_specs[0]));
-    return daemon_specs;
+    int shared = sizeof(daemon_specs) / sizeof(daemon_specs[0]);
+    BkSettingSpec *all =
+        BkMem_New((size_t)shared + (size_t)own_count, sizeof(*all));
+
+    memcpy(all, daemon_specs, sizeof(daemon_specs));
+    memcpy(all + shared, own, (size_t)own_count * sizeof(*all));
+    *count = shared + own_count;
+    return all;
 }
 
 typedef struct Args {
--- a/src/entry/settings.c
+++ b/src/entry/settings.c
@@ -3,11 +3,7 @@
 
 #include "bk/entry/entry.h"
 
-#define KEY(name, type, field, fallback, least, most, help)                   \
-    {                                                                         \
-        "entry", (name), (type), offsetof(BkEntryConf, field), (fallback),    \
-            (least), (most), (help)                                           \
-    }
+#define KEY(...) BK_SETTING(BkEntryConf, "entry", __VA_ARGS__)
 
 static const BkSettingSpec entry_specs[] = {
     KEY("listen", BK_SET_ADDR, listen, NULL, 0, 0, "address for callers"),
@@ -64,14 +60,7 @@
 BkSettingSpec *
 BkEntry_Specs(int *count)
 {
-    int shared = 0;
-    const BkSettingSpec *daemon = BkDaemon_Specs(&shared);
-    BkSettingSpec *all = BkMem_New((size_t)shared + ENTRY_SPECS, sizeof(*all));
-
-    memcpy(all, daemon, (size_t)shared * sizeof(*all));
-    memcpy(all + shared, entry_specs, sizeof(entry_specs));
-    *count = shared + ENTRY_SPECS;
-    return all;
+    return BkDaemon_JoinSpecs(entry_specs, ENTRY_SPECS, count);
 }
 
 BkStatus
--- a/src/place/room.c
+++ b/src/place/room.c
@@ -198,56 +198,50 @@
     return false;
 }
 
-/* a swap: a copy on up is made elsewhere, to be unloaded from up later; the
- * smallest that frees what is missing */
 static bool
-start_swap(PlaceState *state, int up, uint64_t missing)
+is_better(const PlaceCopy *copy, const PlaceCopy *best, bool smallest)
 {
-    int best = NONE;
+    return best == NULL ||
+           (smallest ? copy->bytes < best->bytes : copy->bytes > best->bytes);
+}
+
+/* a copy on up of at least so many bytes is made elsewhere, to be unloaded
+   from up later: the smallest one that has a target, or the largest */
+static bool
+start_move(PlaceState *state, int up, uint64_t least, bool smallest)
+{
+    const PlaceCopy *best = NULL;
     int target = NONE;
     int at = state->ups[up].first;
 
     for (; at != NONE; at = state->copies[at].next_on_up) {
         const PlaceCopy *copy = &state->copies[at];
         if (!is_movable(state, copy) || has_surplus(state, copy->item) ||
-            copy->bytes < missing ||
-            (best != NONE && copy->bytes >= state->copies[best].bytes)) {
+            copy->bytes < least || !is_better(copy, best, smallest)) {
             continue;
         }
         int found = place_pick_target(state, copy->item);
         if (found != NONE && found != up) {
-            best = at;
+            best = copy;
             target = found;
         }
     }
-    return best != NONE &&
-           place_plan_load(state, state->copies[best].item, target,
-                           "swaps places to make room");
+    return best != NULL && place_plan_load(state, best->item, target,
+                                           "swaps places to make room");
+}
+
+/* a swap: the smallest copy that frees what is missing */
+static bool
+start_swap(PlaceState *state, int up, uint64_t missing)
+{
+    return start_move(state, up, missing, true);
 }
 
 /* the largest copy that fits elsewhere, though it does not free enough */
 static bool
 start_part(PlaceState *state, int up)
 {
-    int best = NONE;
-    int target = NONE;
-    int at = state->ups[up].first;
-
-    for (; at != NONE; at = state->copies[at].next_on_up) {
-        const PlaceCopy *copy = &state->copies[at];
-        if (!is_movable(state, copy) || has_surplus(state, copy->item) ||
-            (best != NONE && copy->bytes <= state->copies[best].bytes)) {
-            continue;
-        }
-        int found = place_pick_target(state, copy->item);
-        if (found != NONE && found != up) {
-            best = at;
-            target = found;
-        }
-    }
-    return best != NONE &&
-           place_plan_load(state, state->copies[best].item, target,
-                           "swaps places to make room");
+    return start_move(state, up, 0, false);
 }
 
 static uint64_t
--- a/src/steward/conf.c
+++ b/src/steward/conf.c
@@ -3,11 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SPEC(section, key, type, field, fallback, min, max, help)             \
-    {                                                                         \
-        section, key, type, offsetof(BkStewardConf, field), fallback, min,    \
-            max, help                                                         \
-    }
+#define SPEC(...) BK_SETTING(BkStewardConf, __VA_ARGS__)
 
 static const BkSettingSpec own_specs[] = {
     SPEC("place", "attainment_weight", BK_SET_REAL, place.attainment_weight,
@@ -54,15 +50,7 @@
 const BkSettingSpec *
 BkSteward_Specs(int *count)
 {
-    int common;
-    const BkSettingSpec *specs = BkDaemon_Specs(&common);
-    BkSettingSpec *all =
-        BkMem_New((size_t)common + OWN_SPECS, sizeof(BkSettingSpec));
-
-    memcpy(all, specs, (size_t)common * sizeof(BkSettingSpec));
-    memcpy(all + common, own_specs, sizeof(own_specs));
-    *count = common + OWN_SPECS;
-    return all;
+    return BkDaemon_JoinSpecs(own_specs, OWN_SPECS, count);
 }
 
 BkStatus
