route: measure only what was routed here; steward: less work at rest

The planner's processor time grew with models times upstreams: the row of progress looked for each model at each upstream, and each tick of 50 ms looked at each engine.

--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -76,7 +76,7 @@
 
 /* An own request there took so long from send to end; from these the wait
  * for a slot is estimated in place of conf.service_time. */
-void BkRoute_NoteTook(BkRoute *route, int up, BkMs took);
+void BkRoute_NoteTook(BkRoute *route, const BkView *view, int up, BkMs took);
 
 /*
  * Retry budget: a token bucket filled by first attempts, so that a failing
--- a/include/bk/steward/steward.h
+++ b/include/bk/steward/steward.h
@@ -115,6 +115,7 @@
     uint64_t orders; /* of this term, for fencing numbers */
     BkEngine **engines;
     int engine_count;
+    int next_engine; /* looked at last */
     BkOwnSend *sends;
     int send_count;
     BkSender *senders;
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -102,7 +102,7 @@
     if (up >= 0) {
         BkRoute_Finished(daemon->view, up);
         if (relay->result.status == BK_OK && !relay->not_run) {
-            BkRoute_NoteTook(&relay->entry->route, up,
+            BkRoute_NoteTook(&relay->entry->route, daemon->view, up,
                              BkClock_Now() - relay->sent_at);
         }
     }
--- a/src/route/index.c
+++ b/src/route/index.c
@@ -174,6 +174,12 @@
     return &route->index->ups[up].flow;
 }
 
+IndexFlow *
+route_known_flow(const BkRoute *route, const BkView *view, int up)
+{
+    return index_fits(route->index, view) ? route_flow(route, up) : NULL;
+}
+
 void
 BkRoute_Destroy(BkRoute *route)
 {
--- a/src/route/index.h
+++ b/src/route/index.h
@@ -29,8 +29,12 @@
     double took; /* seconds that an own request took, smoothed; 0: none */
 } IndexFlow;
 
+/* Only after route_copies with the present view. */
 IndexFlow *route_flow(const BkRoute *route, int up);
 
+/* NULL as long as nothing was routed in this view. */
+IndexFlow *route_known_flow(const BkRoute *route, const BkView *view, int up);
+
 /* The copies of an item; the index follows the view's generation. */
 const IndexList *route_copies(BkRoute *route, const BkView *view, int item);
 
--- a/src/route/load.c
+++ b/src/route/load.c
@@ -52,31 +52,37 @@
 
 /* how long a request takes there, in seconds: as measured, else as set */
 static double
-service_seconds(const BkRoute *route, int up)
+service_seconds(const BkRoute *route, const BkView *view, int up)
 {
-    const IndexFlow *flow = route_flow(route, up);
+    const IndexFlow *flow = route_known_flow(route, view, up);
+    bool measured = flow != NULL && flow->took > 0;
 
-    return flow->took > 0 ? flow->took
-                          : (double)route->conf.service_time / BK_MS_PER_S;
+    return measured ? flow->took
+                    : (double)route->conf.service_time / BK_MS_PER_S;
 }
 
 void
-BkRoute_NoteTook(BkRoute *route, int up, BkMs took)
+BkRoute_NoteTook(BkRoute *route, const BkView *view, int up, BkMs took)
 {
-    IndexFlow *flow = route_flow(route, up);
+    IndexFlow *flow = route_known_flow(route, view, up);
     double seconds = (double)(took < 1 ? 1 : took) / BK_MS_PER_S;
 
+    /* a stream that is resumed here was never routed here */
+    if (flow == NULL) {
+        return;
+    }
     if (flow->took <= 0) {
-        flow->took = service_seconds(route, up);
+        flow->took = service_seconds(route, view, up);
     }
     flow->took += (seconds - flow->took) * TOOK_SHARE;
 }
 
 static BkMs
-wait_for_slot(const BkRoute *route, double load, int up, int slots)
+wait_for_slot(const BkRoute *route, const BkView *view, double load, int up)
 {
+    int slots = route_slots(view, up);
     double ahead = load - slots + 1;
-    double each = service_seconds(route, up) * BK_MS_PER_S / slots;
+    double each = service_seconds(route, view, up) * BK_MS_PER_S / slots;
 
     return ahead <= 0 ? 0 : (BkMs)(ahead * each);
 }
@@ -84,8 +90,7 @@
 BkMs
 BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up)
 {
-    return wait_for_slot(route, corrected_load(&view->ups[up]), up,
-                         route_slots(view, up));
+    return wait_for_slot(route, view, corrected_load(&view->ups[up]), up);
 }
 
 static double
@@ -146,7 +151,7 @@
     int senders = route->conf.senders;
     double running = fmin(load, route_slots(view, up));
 
-    double seconds = service_seconds(route, up);
+    double seconds = service_seconds(route, view, up);
     if (seconds <= 0 || senders <= 1) {
         return 0;
     }
@@ -162,7 +167,7 @@
         (double)(now - seen->seen + route->conf.report_lag) / BK_MS_PER_S;
     int others = route->conf.senders > 1 ? route->conf.senders - 1 : 0;
     /* what was sent longer ago than a request takes is no load any more */
-    double span = fmin(age, service_seconds(route, up));
+    double span = fmin(age, service_seconds(route, view, up));
     double sent = others * own_rate(route, up, now) * span;
     double finished = others_finished(route, view, up, known, age);
     double margin = margin_deviations(route, up) *
@@ -170,6 +175,5 @@
     double load = seen->running + seen->waiting + seen->sent_since + sent -
                   finished + margin;
 
-    return wait_for_slot(route, fmax(load, seen->own_running), up,
-                         route_slots(view, up));
+    return wait_for_slot(route, view, fmax(load, seen->own_running), up);
 }
--- a/src/steward/progress.c
+++ b/src/steward/progress.c
@@ -11,17 +11,44 @@
     MAX_LISTED = 50 /* names of one kind in the row */
 };
 
-static int
-ready_copies(const BkDaemon *daemon, int item, BkMs now)
+typedef struct Ready {
+    int copies; /* upstreams with the wanted version ready */
+    int last;   /* the upstream counted last, so that each counts once */
+} Ready;
+
+static void
+count_upstream(const BkDaemon *daemon, int up, Ready *ready)
 {
-    const char *version = daemon->bundle->items[item].version;
-    int ready = 0;
+    const BkUpView *seen = &daemon->view->ups[up];
+
+    for (int i = 0; i < seen->inst_count; i++) {
+        const BkInst *inst = &seen->insts[i];
+        int item = BkBundle_FindItem(daemon->bundle, BkStr_FromC(inst->item));
+        if (item < 0 || inst->state != BK_INST_READY ||
+            ready[item].last == up ||
+            strcmp(inst->version, daemon->bundle->items[item].version) != 0) {
+            continue;
+        }
+        ready[item].copies++;
+        ready[item].last = up;
+    }
+}
 
+/* one pass over what is loaded: items times upstreams would be a large part
+ * of the planner's work. Freed by the caller. */
+static Ready *
+count_ready(const BkDaemon *daemon)
+{
+    BkMs now = BkClock_Now();
+    int items = daemon->bundle->item_count;
+    Ready *ready = BkMem_New((size_t)items, sizeof(*ready));
+
+    for (int i = 0; i < items; i++) {
+        ready[i].last = -1;
+    }
     for (int up = 0; up < daemon->view->count; up++) {
-        const BkInst *inst = BkView_FindReady(daemon->view, up, item);
-        if (inst != NULL && strcmp(inst->version, version) == 0 &&
-            BkView_Usable(daemon->view, up, now, daemon->conf->stale_after)) {
-            ready++;
+        if (BkView_Usable(daemon->view, up, now, daemon->conf->stale_after)) {
+            count_upstream(daemon, up, ready);
         }
     }
     return ready;
@@ -30,14 +57,13 @@
 static json_t *
 list_missing(const BkDaemon *daemon, bool *rolled)
 {
-    BkMs now = BkClock_Now();
+    Ready *ready = count_ready(daemon);
     json_t *missing = json_array();
 
     *rolled = true;
     for (int i = 0; i < daemon->bundle->item_count; i++) {
         const BkItem *item = &daemon->bundle->items[i];
-        if (item->kind == BK_ITEM_SERVICE ||
-            ready_copies(daemon, i, now) >= item->copies) {
+        if (item->kind == BK_ITEM_SERVICE || ready[i].copies >= item->copies) {
             continue;
         }
         *rolled = false;
@@ -45,6 +71,7 @@
             json_array_append_new(missing, json_string(item->name));
         }
     }
+    free(ready);
     return missing;
 }
 
--- a/src/steward/steward.c
+++ b/src/steward/steward.c
@@ -9,6 +9,8 @@
 
 enum {
     TICK_MS = 50,
+    STEP_LEAST = 32,     /* engines looked at in one tick */
+    STEP_SHARE = 10,     /* ticks until all were looked at, if they are many */
     STOP_SLACK_MS = 3000 /* beyond the timeout of an order */
 };
 
@@ -116,6 +118,23 @@
     }
 }
 
+/* All of a few engines, a part of many in turn: an engine that has news of
+ * its own goes on by itself, so this only finds what has fallen due. */
+static void
+step_engines(BkSteward *steward, BkMs now)
+{
+    int count = steward->engine_count;
+    int part = count / STEP_SHARE;
+
+    if (part < STEP_LEAST) {
+        part = count < STEP_LEAST ? count : STEP_LEAST;
+    }
+    for (int i = 0; i < part; i++) {
+        steward->next_engine = (steward->next_engine + 1) % count;
+        BkEngine_Step(steward->engines[steward->next_engine], now);
+    }
+}
+
 static void
 tick(void *arg)
 {
@@ -125,9 +144,7 @@
     BkTimer_Start(steward->timer, TICK_MS);
     hear_planner(steward);
     BkElection_Step(steward, now);
-    for (int i = 0; i < steward->engine_count; i++) {
-        BkEngine_Step(steward->engines[i], now);
-    }
+    step_engines(steward, now);
     BkPlan_Step(steward, now);
     BkSends_Step(steward, now);
     set_gauges(steward);
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -182,7 +182,7 @@
         }
         BkRoute_Sent(f->view, choice.upstream);
         BkRoute_Finished(f->view, choice.upstream);
-        BkRoute_NoteTook(&f->route, choice.upstream, took);
+        BkRoute_NoteTook(&f->route, f->view, choice.upstream, took);
     }
     BkBuf_Printf(out, "%d refused\n", refused);
 }
