base, net, ledger, route: drop functions that nothing calls

Found in a last read: the loop's after-round hooks (the HTTP server goes by a timer since), BkHttpReq_Query, BkLedger_Holds and BkRoute_ExpectedWait had no caller in programs, tests or benches, and one condition in the entry repeated the one before it.

--- a/include/bk/base/loop.h
+++ b/include/bk/base/loop.h
@@ -42,9 +42,6 @@
 bool BkTimer_Running(const BkTimer *timer);
 void BkTimer_Destroy(BkTimer *timer);
 
-/* Calls fn after every round (at most 8 such hooks), for libraries. */
-void BkLoop_AfterRound(BkLoop *loop, BkTimerFn fn, void *arg);
-
 /*
  * Calls fn(arg) in the loop when SIGTERM or SIGINT arrives (self-pipe).
  * ERRORS: BK_EIO.
--- a/include/bk/ledger/ledger.h
+++ b/include/bk/ledger/ledger.h
@@ -84,10 +84,6 @@
 uint64_t BkLedger_Free(const BkLedger *ledger);
 int BkLedger_Find(const BkLedger *ledger, BkStr inst);
 
-/* Whether some entry holds this item and version, in any of the states
- * ordered or loaded. */
-bool BkLedger_Holds(const BkLedger *ledger, const BkItem *item);
-
 /*
  * Reserves a new instance of item, with its first load order about to be
  * sent, and returns its entry index.
--- a/include/bk/net/http_server.h
+++ b/include/bk/net/http_server.h
@@ -48,7 +48,6 @@
 BkStr BkHttpReq_Target(const BkHttpReq *req); /* as sent, with the query */
 BkStr BkHttpReq_Body(const BkHttpReq *req);
 BkStr BkHttpReq_Header(const BkHttpReq *req, const char *name); /* or "" */
-BkStr BkHttpReq_Query(const BkHttpReq *req, const char *name);  /* or "" */
 
 /* Attached state and what is called when the caller goes away before the
  * answer is complete, or after it is: exactly once, at the very end. */
--- a/include/bk/route/route.h
+++ b/include/bk/route/route.h
@@ -63,10 +63,6 @@
     BkMs retry_after;   /* when refused: when to come back */
 } BkRouteChoice;
 
-/* Expected wait for a slot of this upstream, from the report and what this
- * daemon has sent since; what others may have sent is left out. */
-BkMs BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up);
-
 BkRouteChoice BkRoute_Choose(BkRoute *route, const BkView *view,
                              const BkRouteQuery *query, BkMs now);
 
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -16,7 +16,6 @@
     /* of any number of descriptors; few, so that what one event brings is
        sent on before the last of a burst is read */
     EVENTS_PER_ROUND = 16,
-    MAX_HOOKS = 8,
     US_PER_MS = 1000
 };
 
@@ -47,11 +46,6 @@
     BkTimer **heap;
     int heap_len;
     int heap_cap;
-    struct {
-        BkTimerFn fn;
-        void *arg;
-    } hooks[MAX_HOOKS];
-    int hook_count;
     bool stopped;
     BkTimerFn on_terminate;
     void *terminate_arg;
@@ -274,17 +268,6 @@
     free(timer);
 }
 
-void
-BkLoop_AfterRound(BkLoop *loop, BkTimerFn fn, void *arg)
-{
-    if (loop->hook_count == MAX_HOOKS) {
-        abort();
-    }
-    loop->hooks[loop->hook_count].fn = fn;
-    loop->hooks[loop->hook_count].arg = arg;
-    loop->hook_count++;
-}
-
 static void
 note_signal(int signal)
 {
@@ -388,9 +371,6 @@
     }
     poll_watches(loop, wait);
     fire_timers(loop);
-    for (int i = 0; i < loop->hook_count; i++) {
-        loop->hooks[i].fn(loop->hooks[i].arg);
-    }
     free_dead_watches(loop);
 }
 
--- a/src/entry/attempt.c
+++ b/src/entry/attempt.c
@@ -119,7 +119,7 @@
     if (up < 0) {
         return;
     }
-    if (silent || relay->result.status == BK_ECONNECT) {
+    if (silent) {
         BkView_TakeFailure(daemon->view, up, BkClock_Now());
     }
     if (relay->not_run && relay->code == HTTP_NOT_FOUND) {
--- a/src/ledger/ledger.c
+++ b/src/ledger/ledger.c
@@ -124,20 +124,6 @@
     return -1;
 }
 
-bool
-BkLedger_Holds(const BkLedger *ledger, const BkItem *item)
-{
-    for (int i = 0; i < ledger->count; i++) {
-        const BkEntry *entry = &ledger->entries[i];
-        if (entry->state != BK_ENTRY_UNLOAD_ORDERED &&
-            strcmp(entry->item, item->name) == 0 &&
-            strcmp(entry->version, item->version) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static char *
 take_name(BkLedger *ledger)
 {
--- a/src/net/http_request.c
+++ b/src/net/http_request.c
@@ -234,13 +234,6 @@
         MHD_lookup_connection_value(req->connection, MHD_HEADER_KIND, name));
 }
 
-BkStr
-BkHttpReq_Query(const BkHttpReq *req, const char *name)
-{
-    return BkStr_FromC(MHD_lookup_connection_value(
-        req->connection, MHD_GET_ARGUMENT_KIND, name));
-}
-
 void
 BkHttpReq_OnClose(BkHttpReq *req,
                   void (*fn)(BkHttpReq *req, bool complete, void *arg),
--- a/src/route/load.c
+++ b/src/route/load.c
@@ -87,12 +87,6 @@
     return ahead <= 0 ? 0 : (BkMs)(ahead * each);
 }
 
-BkMs
-BkRoute_ExpectedWait(const BkRoute *route, const BkView *view, int up)
-{
-    return wait_for_slot(route, view, corrected_load(&view->ups[up]), up);
-}
-
 static double
 rate_memory(const BkRoute *route)
 {
