front: serve callers on the users' platform, thinly

bk-front relays requests over connections of its own (src/front), with http-parser for the grammar; platform/ decodes the platform's rows, fields and orders once. No planner, no peers yet.

libmicrohttpd does not watch a suspended connection and takes two lengths or bare line feeds; libcurl sends again by itself on a dead kept connection and cannot tell a stray answer from the one waited for. Both stay for the store, readiness and metrics.

--- a/include/bk/base/clock.h
+++ b/include/bk/base/clock.h
@@ -15,7 +15,7 @@
 #define BK_MS_NEVER INT64_MAX
 #define BK_MS_PER_S ((BkMs)1000)
 
-/* Milliseconds on the monotonic clock. */
+/* Milliseconds on the steady clock that also counts a suspension. */
 BkMs BkClock_Now(void);
 
 /* Milliseconds since 1970, for people only (logs, audit entries). */
--- a/include/bk/base/log.h
+++ b/include/bk/base/log.h
@@ -1,5 +1,5 @@
 /*
- * log - JSON lines on standard error, severities of syslog
+ * log - JSON lines on standard error or output, severities of syslog
  *
  *   BK_LOG(BK_LOG_INFO, "relay", request_id, "upstream %s cut", name);
  *
@@ -10,6 +10,8 @@
 #ifndef BK_BASE_LOG_H
 #define BK_BASE_LOG_H
 
+#include <jansson.h>
+
 typedef enum BkLogLevel {
     BK_LOG_EMERG,
     BK_LOG_ALERT,
@@ -32,6 +34,24 @@
 void BkLog_Write(BkLogLevel level, const char *slice, const char *request,
                  const char *fmt, ...) __attribute__((format(printf, 4, 5)));
 
+/*
+ * A line about one decision: event names it, and fmt with what follows are
+ * members as in an object of jansson's json_pack ("s:s, s:I", ...).
+ */
+void BkLog_Event(BkLogLevel level, const char *slice, const char *request,
+                 const char *event, const char *fmt, ...);
+
+/*
+ * From now on lines go to standard output, are collected, and are written by
+ * BkLog_Flush only as far as that does not block. Lines of severity info and
+ * below beyond per_second are left out. Both losses are counted, and told by
+ * a line of their own.
+ */
+void BkLog_ToOutput(int per_second);
+
+/* Writes what was collected; call it often and before the process ends. */
+void BkLog_Flush(void);
+
 #define BK_LOG(level, slice, request, ...)                                    \
     do {                                                                      \
         if ((level) <= bk_log_threshold) {                                    \
--- a/include/bk/base/loop.h
+++ b/include/bk/base/loop.h
@@ -48,6 +48,9 @@
  */
 BkStatus BkLoop_OnTerminate(BkLoop *loop, BkTimerFn fn, void *arg);
 
+/* The same when SIGHUP arrives. ERRORS: BK_EIO. */
+BkStatus BkLoop_OnReload(BkLoop *loop, BkTimerFn fn, void *arg);
+
 /* Runs until BkLoop_Stop. */
 void BkLoop_Run(BkLoop *loop);
 
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -19,7 +19,9 @@
 BkMs
 BkClock_Now(void)
 {
-    return read_clock(CLOCK_MONOTONIC);
+    /* the monotonic clock stands still while a VM is suspended, and a lease
+       or a deadline goes on */
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 BkMs
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "bk/base/clock.h"
+#include "log_sink.h"
 
 enum {
     MESSAGE_BYTES = 1024,
@@ -49,6 +50,32 @@
     }
 }
 
+static json_t *
+start_line(BkLogLevel level, const char *slice, const char *request,
+           char *stamp)
+{
+    BkClock_Format(BkClock_Wall(), stamp, STAMP_BYTES);
+    json_t *line =
+        json_pack("{ss ss ss ss}", "at", stamp, "sev", severities[level],
+                  "prog", program_name, "slice", slice);
+    if (request != NULL && request[0] != '\0') {
+        json_object_set_new(line, "req", json_string(request));
+    }
+    return line;
+}
+
+static void
+write_line(BkLogLevel level, json_t *line)
+{
+    char *text = json_dumps(line, JSON_COMPACT);
+
+    json_decref(line);
+    if (text != NULL) {
+        BkLogSink_Write(level, text);
+        free(text);
+    }
+}
+
 void
 BkLog_Write(BkLogLevel level, const char *slice, const char *request,
             const char *fmt, ...)
@@ -61,21 +88,38 @@
     vsnprintf(message, sizeof(message), fmt, args);
     va_end(args);
     replace_foreign_bytes(message);
-    BkClock_Format(BkClock_Wall(), stamp, sizeof(stamp));
+    json_t *line = start_line(level, slice, request, stamp);
+    json_object_set_new(line, "msg", json_string(message));
+    write_line(level, line);
+}
 
-    json_t *line =
-        json_pack("{ss ss ss ss}", "at", stamp, "sev", severities[level],
-                  "prog", program_name, "slice", slice);
-    if (request != NULL && request[0] != '\0') {
-        json_object_set_new(line, "req", json_string(request));
+void
+BkLog_Event(BkLogLevel level, const char *slice, const char *request,
+            const char *event, const char *fmt, ...)
+{
+    char object[MESSAGE_BYTES];
+    char stamp[STAMP_BYTES];
+    va_list args;
+
+    if (level > bk_log_threshold) {
+        return;
     }
-    json_object_set_new(line, "msg", json_string(message));
-    char *text = json_dumps(line, JSON_COMPACT);
-    json_decref(line);
-    if (text == NULL) {
+    if (!BkLogSink_Admits(level)) {
         return;
     }
-    /* one call, so that lines of several processes do not mix */
-    fprintf(stderr, "%s\n", text);
-    free(text);
+    snprintf(object, sizeof(object), "{%s}", fmt);
+    va_start(args, fmt);
+    json_t *members = json_vpack_ex(NULL, 0, object, args);
+    va_end(args);
+    json_t *line = start_line(level, slice, request, stamp);
+    json_object_set_new(line, "event", json_string(event));
+    if (members == NULL) {
+        json_object_set_new(line, "msg",
+                            json_string("members cannot be shown"));
+    }
+    else {
+        json_object_update(line, members);
+        json_decref(members);
+    }
+    write_line(level, line);
 }
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -21,14 +21,14 @@
 
 struct BkWatch {
     BkLoop *loop;
-    apr_pool_t *pool; /* of its own: the socket object would leak else */
-    apr_socket_t *socket;
+    apr_socket_t *socket; /* kept when the watch is used again */
+    apr_pollfd_t pfd;     /* the pollset refers to it */
     int fd;
     int events; /* 0 while not in the pollset */
     BkWatchFn fn;
     void *arg;
     bool dead;
-    BkWatch *next_dead;
+    BkWatch *next; /* among the dead, or the spare ones */
 };
 
 struct BkTimer {
@@ -42,17 +42,20 @@
 struct BkLoop {
     apr_pool_t *pool;
     apr_pollset_t *pollset;
-    BkWatch *dead; /* freed after the round in which they died */
+    BkWatch *dead;  /* spare after the round in which they died */
+    BkWatch *spare; /* their socket objects stay in the loop's pool */
     BkTimer **heap;
     int heap_len;
     int heap_cap;
     bool stopped;
     BkTimerFn on_terminate;
     void *terminate_arg;
-    BkWatch *terminate_watch;
+    BkTimerFn on_reload;
+    void *reload_arg;
+    BkWatch *signal_watch;
 };
 
-static int terminate_pipe[2] = {-1, -1};
+static int signal_pipe[2] = {-1, -1};
 
 BkLoop *
 BkLoop_Create(void)
@@ -62,7 +65,8 @@
     apr_initialize();
     apr_pool_create(&loop->pool, NULL);
     apr_status_t rv =
-        apr_pollset_create(&loop->pollset, EVENTS_PER_ROUND, loop->pool, 0);
+        apr_pollset_create(&loop->pollset, EVENTS_PER_ROUND, loop->pool,
+                           APR_POLLSET_NOCOPY);
     if (rv != APR_SUCCESS) {
         abort();
     }
@@ -70,13 +74,13 @@
 }
 
 static void
-free_dead_watches(BkLoop *loop)
+recycle_dead_watches(BkLoop *loop)
 {
     while (loop->dead != NULL) {
         BkWatch *watch = loop->dead;
-        loop->dead = watch->next_dead;
-        apr_pool_destroy(watch->pool);
-        free(watch);
+        loop->dead = watch->next;
+        watch->next = loop->spare;
+        loop->spare = watch;
     }
 }
 
@@ -86,10 +90,15 @@
     if (loop == NULL) {
         return;
     }
-    if (loop->terminate_watch != NULL) {
-        BkWatch_Destroy(loop->terminate_watch);
+    if (loop->signal_watch != NULL) {
+        BkWatch_Destroy(loop->signal_watch);
+    }
+    recycle_dead_watches(loop);
+    while (loop->spare != NULL) {
+        BkWatch *watch = loop->spare;
+        loop->spare = watch->next;
+        free(watch);
     }
-    free_dead_watches(loop);
     free(loop->heap);
     apr_pollset_destroy(loop->pollset);
     apr_pool_destroy(loop->pool);
@@ -97,35 +106,38 @@
     apr_terminate();
 }
 
-static apr_pollfd_t
+static void
 describe_watch(BkWatch *watch)
 {
-    apr_pollfd_t pfd = {0};
-
-    pfd.p = watch->pool;
-    pfd.desc_type = APR_POLL_SOCKET;
-    pfd.desc.s = watch->socket;
-    pfd.client_data = watch;
+    watch->pfd = (apr_pollfd_t){.p = watch->loop->pool,
+                                .desc_type = APR_POLL_SOCKET,
+                                .desc.s = watch->socket,
+                                .client_data = watch};
     if ((watch->events & BK_LOOP_READ) != 0) {
-        pfd.reqevents |= APR_POLLIN;
+        watch->pfd.reqevents |= APR_POLLIN;
     }
     if ((watch->events & BK_LOOP_WRITE) != 0) {
-        pfd.reqevents |= APR_POLLOUT;
+        watch->pfd.reqevents |= APR_POLLOUT;
     }
-    return pfd;
 }
 
 BkWatch *
 BkLoop_Watch(BkLoop *loop, int fd, int events, BkWatchFn fn, void *arg)
 {
-    BkWatch *watch = BkMem_New(1, sizeof(*watch));
-
-    watch->loop = loop;
-    watch->fd = fd;
-    watch->fn = fn;
-    watch->arg = arg;
-    apr_pool_create(&watch->pool, NULL);
-    apr_os_sock_put(&watch->socket, &fd, watch->pool);
+    BkWatch *watch = loop->spare;
+
+    if (watch == NULL) {
+        watch = BkMem_New(1, sizeof(*watch));
+    }
+    else {
+        loop->spare = watch->next;
+    }
+    *watch = (BkWatch){.loop = loop,
+                       .socket = watch->socket,
+                       .fd = fd,
+                       .fn = fn,
+                       .arg = arg};
+    apr_os_sock_put(&watch->socket, &fd, loop->pool);
     BkWatch_Modify(watch, events);
     return watch;
 }
@@ -133,19 +145,16 @@
 void
 BkWatch_Modify(BkWatch *watch, int events)
 {
-    apr_pollfd_t pfd;
-
     if (watch->events == events) {
         return;
     }
     if (watch->events != 0) {
-        pfd = describe_watch(watch);
-        apr_pollset_remove(watch->loop->pollset, &pfd);
+        apr_pollset_remove(watch->loop->pollset, &watch->pfd);
     }
     watch->events = events;
     if (events != 0) {
-        pfd = describe_watch(watch);
-        apr_pollset_add(watch->loop->pollset, &pfd);
+        describe_watch(watch);
+        apr_pollset_add(watch->loop->pollset, &watch->pfd);
     }
 }
 
@@ -157,7 +166,7 @@
     }
     BkWatch_Modify(watch, 0);
     watch->dead = true;
-    watch->next_dead = watch->loop->dead;
+    watch->next = watch->loop->dead;
     watch->loop->dead = watch;
 }
 
@@ -274,40 +283,80 @@
     int saved = errno;
     char byte = (char)signal;
 
-    if (write(terminate_pipe[1], &byte, 1) < 0) {
+    if (write(signal_pipe[1], &byte, 1) < 0) {
         /* the pipe is full: the loop will wake up anyway */
     }
     errno = saved;
 }
 
 static void
-read_signal(int fd, int events, void *arg)
+take_signal(BkLoop *loop, int number)
+{
+    if (number != SIGHUP) {
+        if (loop->on_terminate != NULL) {
+            loop->on_terminate(loop->terminate_arg);
+        }
+    }
+    else if (loop->on_reload != NULL) {
+        loop->on_reload(loop->reload_arg);
+    }
+}
+
+static void
+read_signals(int fd, int events, void *arg)
 {
     BkLoop *loop = arg;
     char bytes[16];
 
     (void)events;
-    if (read(fd, bytes, sizeof(bytes)) > 0) {
-        loop->on_terminate(loop->terminate_arg);
+    ssize_t n = read(fd, bytes, sizeof(bytes));
+    for (ssize_t i = 0; i < n; i++) {
+        take_signal(loop, bytes[i]);
+    }
+}
+
+static BkStatus
+watch_signals(BkLoop *loop)
+{
+    if (loop->signal_watch != NULL) {
+        return BK_OK;
+    }
+    if (pipe2(signal_pipe, O_NONBLOCK | O_CLOEXEC) != 0) {
+        return BkErr_Set(BK_EIO, "no pipe for signals: errno %d", errno);
     }
+    loop->signal_watch =
+        BkLoop_Watch(loop, signal_pipe[0], BK_LOOP_READ, read_signals, loop);
+    signal(SIGPIPE, SIG_IGN);
+    return BK_OK;
 }
 
 BkStatus
 BkLoop_OnTerminate(BkLoop *loop, BkTimerFn fn, void *arg)
 {
     struct sigaction action = {.sa_handler = note_signal};
+    BkStatus status = watch_signals(loop);
 
-    if (pipe2(terminate_pipe, O_NONBLOCK | O_CLOEXEC) != 0) {
-        return BkErr_Set(BK_EIO, "no pipe for signals: errno %d", errno);
+    if (status == BK_OK) {
+        loop->on_terminate = fn;
+        loop->terminate_arg = arg;
+        sigaction(SIGTERM, &action, NULL);
+        sigaction(SIGINT, &action, NULL);
     }
-    loop->on_terminate = fn;
-    loop->terminate_arg = arg;
-    loop->terminate_watch =
-        BkLoop_Watch(loop, terminate_pipe[0], BK_LOOP_READ, read_signal, loop);
-    sigaction(SIGTERM, &action, NULL);
-    sigaction(SIGINT, &action, NULL);
-    signal(SIGPIPE, SIG_IGN);
-    return BK_OK;
+    return status;
+}
+
+BkStatus
+BkLoop_OnReload(BkLoop *loop, BkTimerFn fn, void *arg)
+{
+    struct sigaction action = {.sa_handler = note_signal};
+    BkStatus status = watch_signals(loop);
+
+    if (status == BK_OK) {
+        loop->on_reload = fn;
+        loop->reload_arg = arg;
+        sigaction(SIGHUP, &action, NULL);
+    }
+    return status;
 }
 
 static void
@@ -371,7 +420,7 @@
     }
     poll_watches(loop, wait);
     fire_timers(loop);
-    free_dead_watches(loop);
+    recycle_dead_watches(loop);
 }
 
 void
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -34,18 +34,44 @@
 
 #define COUNT_OF(array) ((int)(sizeof(array) / sizeof((array)[0])))
 
+static size_t
+count_digits(BkStr text)
+{
+    size_t n = 0;
+
+    while (n < text.len && text.ptr[n] >= '0' && text.ptr[n] <= '9') {
+        n++;
+    }
+    return n;
+}
+
+/* what ".25" of a unit is; the rest below one is dropped */
+static uint64_t
+scale_fraction(BkStr fraction, uint64_t factor)
+{
+    double part = 0;
+    double digit = 0.1;
+
+    for (size_t i = 1; i < fraction.len; i++, digit /= 10) {
+        part += (fraction.ptr[i] - '0') * digit;
+    }
+    return (uint64_t)(part * (double)factor + 1e-6);
+}
+
 static BkStatus
 parse_with_unit(BkStr text, const Unit *units, int count, const char *allowed,
                 uint64_t *out)
 {
-    size_t digits = 0;
+    size_t digits = count_digits(text);
+    size_t end = digits; /* of the number */
     uint64_t number;
 
-    while (digits < text.len && text.ptr[digits] >= '0' &&
-           text.ptr[digits] <= '9') {
-        digits++;
+    if (digits > 0 && digits < text.len && text.ptr[digits] == '.') {
+        end = digits + 1 +
+              count_digits(
+                  (BkStr){text.ptr + digits + 1, text.len - digits - 1});
     }
-    BkStr unit = {text.ptr + digits, text.len - digits};
+    BkStr unit = {text.ptr + end, text.len - end};
     for (int i = 0; i < count && digits > 0; i++) {
         if (!BkStr_Equal(unit, BkStr_FromC(units[i].name))) {
             continue;
@@ -58,7 +84,9 @@
             return BkErr_Set(BK_EINVAL, "\"%.*s\" is too large",
                              BK_STR_ARG(text));
         }
-        *out = number * units[i].factor;
+        *out = number * units[i].factor +
+               scale_fraction((BkStr){text.ptr + digits, end - digits},
+                              units[i].factor);
         return BK_OK;
     }
     return BkErr_Set(BK_EINVAL, "\"%.*s\" is not a number with a unit of %s",
--- /dev/null
+++ b/src/front/conf.c
@@ -0,0 +1,81 @@
+#include "bk/front/conf.h"
+
+#include "bk/base/log.h"
+
+#define SPEC(...) BK_SETTING(FrConf, __VA_ARGS__)
+
+static const BkSettingSpec specs[] = {
+    SPEC("daemon", "name", BK_SET_TEXT, name, NULL, 0, 0,
+         "name, unique over all daemons"),
+    SPEC("daemon", "domain", BK_SET_TEXT, domain, NULL, 0, 0,
+         "failure domain"),
+    SPEC("daemon", "log_level", BK_SET_TEXT, log_level, "info", 0, 0,
+         "emerg, alert, crit, err, warning, notice, info or debug"),
+    SPEC("daemon", "log_lines", BK_SET_INT, log_lines, "60", 1, 100000,
+         "lines a second of severity info and below"),
+    SPEC("daemon", "descriptors", BK_SET_INT, descriptors, "1024", 64, 1000000,
+         "file descriptors that the process may have"),
+    SPEC("daemon", "grace", BK_SET_MS, grace, "8s", 100, 600000,
+         "from SIGTERM until the platform kills the process"),
+    SPEC("listen", "callers", BK_SET_ADDR, callers, NULL, 0, 0,
+         "address for callers"),
+    SPEC("listen", "ops", BK_SET_ADDR, ops, NULL, 0, 0,
+         "address for readiness and metrics"),
+    SPEC("listen", "ready_path", BK_SET_TEXT, ready_path, "/readyz", 0, 0,
+         "path that the balancer asks for"),
+    SPEC("listen", "metrics_path", BK_SET_TEXT, metrics_path, "/metrics", 0, 0,
+         "path that monitoring asks for"),
+    SPEC("listen", "peers", BK_SET_ADDR, peers, NULL, 0, 0,
+         "UDP address for other daemons"),
+    SPEC("listen", "seeds", BK_SET_TEXT, seeds, "", 0, 0,
+         "addresses of some other VMs, separated by commas"),
+    SPEC("store", "address", BK_SET_ADDR, store, NULL, 0, 0,
+         "address of the platform's table service"),
+    SPEC("planner", "lease", BK_SET_MS, lease, "3s", 200, 600000,
+         "term of the planner's lease"),
+    SPEC("planner", "fence_slack", BK_SET_MS, fence_slack, "300ms", 0, 60000,
+         "how long an order may be under way when its sender freezes"),
+    SPEC("planner", "load_window", BK_SET_MS, load_window, "5s", 100, 600000,
+         "window of the weight store's limit of loads"),
+    SPEC("planner", "load_overshoot", BK_SET_REAL, load_overshoot, "1.0", 1000,
+         10000, "factor by which the limit may be passed in a window"),
+    SPEC("retries", "ratio", BK_SET_REAL, retry_ratio, "0.2", 0, 10000,
+         "repeats per request, over all daemons"),
+    SPEC("retries", "slack", BK_SET_INT, retry_slack, "20", 0, 100000,
+         "repeats in a window besides, over all daemons"),
+    SPEC("retries", "window", BK_SET_MS, retry_window, "10s", 100, 600000,
+         "window of the limit of repeats"),
+    SPEC("routing", "window", BK_SET_INT, pick_window, "4096", 1, 1000000,
+         "tokens of unread prompts on one engine"),
+    SPEC("routing", "per_run", BK_SET_INT, pick_per_run, "60", 0, 100000,
+         "tokens that a running request counts for"),
+    SPEC("routing", "affinity", BK_SET_INT, pick_affinity, "600", 0, 1000000,
+         "tokens of work more that a kept part of a prompt is worth"),
+    SPEC("routing", "far", BK_SET_INT, pick_far, "30", 0, 1000000,
+         "tokens that another failure domain costs"),
+    SPEC("routing", "full", BK_SET_REAL, pick_full, "2.0", 100, 100000,
+         "requests per slot of a plain service before others wait"),
+};
+
+enum {
+    SPEC_COUNT = sizeof(specs) / sizeof(specs[0])
+};
+
+BkStatus
+FrConf_Load(const char *path, FrConf *out)
+{
+    *out = (FrConf){0};
+    BkStatus status = BkSettings_Load(path, specs, SPEC_COUNT, out);
+
+    if (status == BK_OK && BkLog_ParseLevel(out->log_level) < 0) {
+        status = BkSettings_Fail(path, "daemon", "log_level",
+                                 "\"%s\" is no severity", out->log_level);
+    }
+    return status;
+}
+
+void
+FrConf_Destroy(FrConf *conf)
+{
+    BkSettings_Destroy(specs, SPEC_COUNT, conf);
+}
--- /dev/null
+++ b/src/front/front.c
@@ -0,0 +1,209 @@
+#include "front.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+
+enum {
+    TICK = 200,           /* ms between sweeps */
+    STOP_ACCEPT = 3000,   /* ms after SIGTERM that new connections are taken:
+                             the balancer asks each second, twice */
+    STOP_MARGIN = 400     /* ms before SIGKILL at which the process ends */
+};
+
+static void
+reap(void *arg)
+{
+    FrFront *front = arg;
+
+    FrLink_FreeDead(front);
+    while (front->dead_relays != NULL) {
+        FrRelay *relay = front->dead_relays;
+        front->dead_relays = relay->next;
+        FrRelay_Free(relay);
+    }
+    while (front->dead_callers != NULL) {
+        FrCaller *caller = front->dead_callers;
+        front->dead_callers = caller->next;
+        FrCaller_Free(caller);
+    }
+}
+
+void
+FrFront_ReapSoon(FrFront *front)
+{
+    if (!BkTimer_Running(front->reap_timer)) {
+        BkTimer_Start(front->reap_timer, 0);
+    }
+}
+
+BkBudget *
+FrFront_Budget(FrFront *front, uint32_t service)
+{
+    int at = 0;
+
+    while (at < front->budget_count &&
+           front->budgets[at].service != service) {
+        at++;
+    }
+    if (at == front->budget_count) {
+        /* beyond the table, services share its last row */
+        if (at == FR_MAX_SERVICES) {
+            return &front->budgets[FR_MAX_SERVICES - 1].budget;
+        }
+        front->budgets[at].service = service;
+        front->budget_count++;
+    }
+    return &front->budgets[at].budget;
+}
+
+int
+FrFront_CountDaemons(const FrFront *front)
+{
+    return 8;
+}
+
+bool
+FrFront_IsReady(const FrFront *front)
+{
+    return !front->stopping && front->site != NULL && front->fleet.known;
+}
+
+static void
+sweep_links(FrFront *front, BkMs now)
+{
+    for (int i = 0; i < front->fleet.count; i++) {
+        BkUp *up = front->fleet.ups[i];
+        FrPool_CloseIdle(up, now, !BkUp_IsOpen(up));
+    }
+}
+
+static void
+watch_stop(FrFront *front, BkMs now)
+{
+    BkMs since = now - front->stop_at;
+
+    if (since >= STOP_ACCEPT) {
+        FrCallers_StopListening(front);
+        FrCallers_CloseIdle(front);
+    }
+    if ((since >= STOP_ACCEPT && front->caller_count == 0) ||
+        since >= front->conf.grace - STOP_MARGIN) {
+        BkLoop_Stop(front->loop);
+    }
+}
+
+static void
+on_tick(void *arg)
+{
+    FrFront *front = arg;
+    BkMs now = BkClock_Now();
+
+    BkFleet_Sweep(&front->fleet, now);
+    FrCallers_Sweep(front, now);
+    sweep_links(front, now);
+    if (front->stopping) {
+        watch_stop(front, now);
+    }
+    BkLog_Flush();
+    BkTimer_Start(front->tick, TICK);
+}
+
+static void
+on_terminate(void *arg)
+{
+    FrFront *front = arg;
+
+    if (front->stopping) {
+        return;
+    }
+    front->stopping = true;
+    front->stop_at = BkClock_Now();
+    BkLog_Event(BK_LOG_NOTICE, "front", NULL, "stop", "s:i, s:i", "requests",
+                front->relay_count, "callers", front->caller_count);
+}
+
+static void
+on_reload(void *arg)
+{
+    FrFront *front = arg;
+    FrConf conf;
+
+    if (FrConf_Load(front->conf_path, &conf) != BK_OK) {
+        BkLog_Event(BK_LOG_ERR, "front", NULL, "reload failed", "s:s", "why",
+                    BkErr_Last());
+        FrConf_Destroy(&conf);
+        return;
+    }
+    bk_log_threshold = (BkLogLevel)BkLog_ParseLevel(conf.log_level);
+    BkLog_Event(BK_LOG_NOTICE, "front", NULL, "reload", "s:s", "log_level",
+                conf.log_level);
+    FrConf_Destroy(&conf);
+}
+
+FrFront *
+FrFront_Create(const FrConf *conf, const char *conf_path)
+{
+    FrFront *front = BkMem_New(1, sizeof(*front));
+
+    front->conf = *conf;
+    front->conf_path = conf_path;
+    front->listen_fd = -1;
+    front->born = (uint64_t)BkClock_Wall();
+    front->rng = BkRng_Make(front->born ^
+                            BkFleet_Key(BkStr_FromC(conf->name)));
+    front->metrics = FrMetrics_Get();
+    front->loop = BkLoop_Create();
+    front->http = BkHttpClient_Create(front->loop);
+    front->store = BkStore_Create(front->http, conf->store);
+    front->wake_timer = BkTimer_Create(front->loop, FrQueue_Look, front);
+    front->tick = BkTimer_Create(front->loop, on_tick, front);
+    front->reap_timer = BkTimer_Create(front->loop, reap, front);
+    if (BkLoop_OnTerminate(front->loop, on_terminate, front) != BK_OK ||
+        BkLoop_OnReload(front->loop, on_reload, front) != BK_OK ||
+        FrOps_Listen(front) != BK_OK || FrCallers_Listen(front) != BK_OK) {
+        FrFront_Destroy(front);
+        return NULL;
+    }
+    front->sync = FrSync_Create(front);
+    BkTimer_Start(front->tick, TICK);
+    return front;
+}
+
+void
+FrFront_Run(FrFront *front)
+{
+    BkLog_Event(BK_LOG_NOTICE, "front", NULL, "start", "s:s, s:s, s:I",
+                "version", BK_VERSION, "callers", front->conf.callers, "born",
+                (json_int_t)front->born);
+    BkLoop_Run(front->loop);
+    BkLog_Event(BK_LOG_NOTICE, "front", NULL, "end", "s:i, s:I", "requests",
+                front->relay_count, "after_ms",
+                (json_int_t)(BkClock_Now() - front->stop_at));
+}
+
+void
+FrFront_Destroy(FrFront *front)
+{
+    FrCallers_StopListening(front);
+    while (front->callers != NULL) {
+        FrCaller_Close(front->callers);
+    }
+    reap(front);
+    for (int i = 0; i < front->fleet.count; i++) {
+        FrPool_CloseIdle(front->fleet.ups[i], BkClock_Now(), true);
+    }
+    reap(front);
+    BkFleet_Destroy(&front->fleet);
+    FrSync_Destroy(front->sync);
+    BkHttpServer_Destroy(front->ops);
+    BkHttpClient_Destroy(front->http);
+    BkStore_Destroy(front->store);
+    BkSite_Destroy(front->site);
+    BkTimer_Destroy(front->wake_timer);
+    BkTimer_Destroy(front->tick);
+    BkTimer_Destroy(front->reap_timer);
+    BkLoop_Destroy(front->loop);
+    free(front);
+}
--- /dev/null
+++ b/src/front/metrics.c
@@ -0,0 +1,71 @@
+#include <stdio.h>
+
+#include "front.h"
+
+enum {
+    BUCKETS = 9
+};
+
+/* upper bounds in ms; the last bucket takes all */
+static const BkMs bounds[BUCKETS] = {25,   50,   100,  250,        500,
+                                     1000, 2500, 5000, BK_MS_NEVER};
+
+FrMetrics
+FrMetrics_Get(void)
+{
+    return (FrMetrics){
+        .callers = BkCounter_Get("bk_front_callers", NULL,
+                                 "open connections of callers"),
+        .waiting = BkCounter_Get("bk_front_waiting", NULL,
+                                 "requests that wait for an upstream"),
+        .sends = BkCounter_Get("bk_front_sends_total", NULL,
+                               "requests sent to upstreams"),
+        .repeats = BkCounter_Get("bk_front_repeats_total", NULL,
+                                 "of these, not the first of their request"),
+        .no_budget = BkCounter_Get("bk_front_no_budget_total", NULL,
+                                   "repeats that the budget did not allow"),
+        .connects = BkCounter_Get("bk_front_connects_total", NULL,
+                                  "connections opened to upstreams"),
+        .strays = BkCounter_Get("bk_front_stray_answers_total", NULL,
+                                "answers to another request than the one "
+                                "sent")};
+}
+
+static void
+note_latency(const FrRelay *relay, BkMs span)
+{
+    char labels[320];
+
+    for (int i = 0; i < BUCKETS; i++) {
+        if (span > bounds[i]) {
+            continue;
+        }
+        if (bounds[i] == BK_MS_NEVER) {
+            snprintf(labels, sizeof(labels), "route=\"%.200s\",le=\"+Inf\"",
+                     relay->route);
+        }
+        else {
+            snprintf(labels, sizeof(labels), "route=\"%.200s\",le=\"%lld\"",
+                     relay->route, (long long)bounds[i]);
+        }
+        BkCounter_Add(BkCounter_Get("bk_front_first_byte_total", labels,
+                                    "answers by ms to their first byte"),
+                      1);
+    }
+}
+
+void
+FrMetrics_NoteAnswer(const FrRelay *relay, int code)
+{
+    char labels[320];
+
+    snprintf(labels, sizeof(labels), "route=\"%.200s\",code=\"%d\"",
+             relay->route, code);
+    BkCounter_Add(BkCounter_Get("bk_front_requests_total", labels,
+                                "requests by route and status; 0: the caller "
+                                "went away"),
+                  1);
+    if (relay->first_sent) {
+        note_latency(relay, relay->first_at - relay->started);
+    }
+}
--- /dev/null
+++ b/src/h1/parser.c
@@ -0,0 +1,358 @@
+#include <http_parser.h>
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/h1/h1.h"
+
+enum {
+    MAX_FIELDS = 96,
+    KEPT_HEAD = 8 * 1024 /* bytes of head kept allocated between messages */
+};
+
+/* a part of the collected head */
+typedef struct Span {
+    uint32_t at;
+    uint32_t len;
+} Span;
+
+struct BkH1Parser {
+    http_parser http;
+    BkH1Kind kind;
+    BkH1State state;
+    BkH1Fault fault;
+    size_t max_head;
+    size_t head_bytes; /* of the message so far */
+    char last;         /* byte of the head before this one */
+    bool line_empty;
+    bool any_line;
+    bool bodiless;
+    BkBuf text; /* target, names and values, one after the other */
+    Span target;
+    Span names[MAX_FIELDS];
+    Span values[MAX_FIELDS];
+    int count;
+    bool in_value;
+    BkH1Field fields[MAX_FIELDS];
+    BkH1Head head;
+    BkH1BodyFn on_body;
+    void *arg;
+};
+
+static int
+add_text(BkH1Parser *parser, Span *span, const char *at, size_t len)
+{
+    if (span->len == 0) {
+        span->at = (uint32_t)parser->text.len;
+    }
+    span->len += (uint32_t)len;
+    return BkBuf_Append(&parser->text, (BkStr){at, len}) == BK_OK ? 0 : 1;
+}
+
+static int
+take_target(http_parser *http, const char *at, size_t len)
+{
+    BkH1Parser *parser = http->data;
+
+    return add_text(parser, &parser->target, at, len);
+}
+
+static int
+take_name(http_parser *http, const char *at, size_t len)
+{
+    BkH1Parser *parser = http->data;
+
+    if (parser->in_value || parser->count == 0) {
+        if (parser->count == MAX_FIELDS) {
+            parser->fault = BK_H1_HEAD_TOO_LARGE;
+            return 1;
+        }
+        parser->in_value = false;
+        parser->names[parser->count] = (Span){0, 0};
+        parser->values[parser->count] = (Span){0, 0};
+        parser->count++;
+    }
+    return add_text(parser, &parser->names[parser->count - 1], at, len);
+}
+
+static int
+take_value(http_parser *http, const char *at, size_t len)
+{
+    BkH1Parser *parser = http->data;
+
+    parser->in_value = true;
+    return add_text(parser, &parser->values[parser->count - 1], at, len);
+}
+
+static BkStr
+view(const BkH1Parser *parser, Span span)
+{
+    return (BkStr){parser->text.ptr + span.at, span.len};
+}
+
+static void
+build_head(BkH1Parser *parser)
+{
+    const http_parser *http = &parser->http;
+    BkH1Head *head = &parser->head;
+    bool has_length = http->content_length != ULLONG_MAX;
+
+    for (int i = 0; i < parser->count; i++) {
+        parser->fields[i].name = view(parser, parser->names[i]);
+        parser->fields[i].value =
+            BkStr_Trim(view(parser, parser->values[i]));
+    }
+    *head = (BkH1Head){.minor = http->http_minor,
+                       .fields = parser->fields,
+                       .count = parser->count,
+                       .length = -1,
+                       .chunked = (http->flags & F_CHUNKED) != 0};
+    if (parser->kind == BK_H1_REQUEST) {
+        head->method =
+            BkStr_FromC(http_method_str((enum http_method)http->method));
+        head->target = view(parser, parser->target);
+    }
+    else {
+        head->code = (int)http->status_code;
+        head->until_close = !parser->bodiless && !head->chunked &&
+                            !has_length && head->code >= 200 &&
+                            head->code != 204 && head->code != 304;
+    }
+    if (!head->chunked && has_length) {
+        head->length = (int64_t)http->content_length;
+    }
+    head->keep_alive = http_should_keep_alive(http) != 0;
+}
+
+static int
+end_head(http_parser *http)
+{
+    BkH1Parser *parser = http->data;
+
+    http->upgrade = 0; /* no other protocol is spoken here */
+    if (http->http_major != 1) {
+        return -1;
+    }
+    build_head(parser);
+    parser->state = BK_H1_BODY;
+    return parser->bodiless ? 1 : 0;
+}
+
+static int
+take_body(http_parser *http, const char *at, size_t len)
+{
+    BkH1Parser *parser = http->data;
+
+    parser->on_body((BkStr){at, len}, parser->arg);
+    return 0;
+}
+
+static int
+end_message(http_parser *http)
+{
+    BkH1Parser *parser = http->data;
+
+    parser->state = BK_H1_DONE;
+    http_parser_pause(http, 1);
+    return 0;
+}
+
+static const http_parser_settings callbacks = {
+    .on_url = take_target,
+    .on_header_field = take_name,
+    .on_header_value = take_value,
+    .on_headers_complete = end_head,
+    .on_body = take_body,
+    .on_message_complete = end_message,
+};
+
+BkH1Parser *
+BkH1Parser_Create(BkH1Kind kind, size_t max_head, BkH1BodyFn on_body,
+                  void *arg)
+{
+    BkH1Parser *parser = BkMem_New(1, sizeof(*parser));
+
+    parser->kind = kind;
+    parser->max_head = max_head;
+    parser->on_body = on_body;
+    parser->arg = arg;
+    parser->text = BkBuf_Make(max_head);
+    BkH1Parser_Reset(parser, false);
+    return parser;
+}
+
+void
+BkH1Parser_Destroy(BkH1Parser *parser)
+{
+    if (parser == NULL) {
+        return;
+    }
+    BkBuf_Destroy(&parser->text);
+    free(parser);
+}
+
+void
+BkH1Parser_Reset(BkH1Parser *parser, bool bodiless)
+{
+    http_parser_init(&parser->http, parser->kind == BK_H1_REQUEST
+                                        ? HTTP_REQUEST
+                                        : HTTP_RESPONSE);
+    parser->http.data = parser;
+    parser->state = BK_H1_IDLE;
+    parser->fault = BK_H1_NO_FAULT;
+    parser->head_bytes = 0;
+    parser->last = '\0';
+    parser->line_empty = true;
+    parser->any_line = false;
+    parser->bodiless = bodiless;
+    parser->target = (Span){0, 0};
+    parser->count = 0;
+    parser->in_value = false;
+    if (parser->text.cap > KEPT_HEAD) {
+        BkBuf_Destroy(&parser->text);
+    }
+    BkBuf_Clear(&parser->text);
+}
+
+static void
+fail(BkH1Parser *parser, BkH1Fault fault)
+{
+    parser->state = BK_H1_BAD;
+    if (parser->fault == BK_H1_NO_FAULT) {
+        parser->fault = fault;
+    }
+}
+
+/* false: a byte that other parsers may read as another line end */
+static bool
+check_byte(BkH1Parser *parser, char c)
+{
+    bool after_cr = parser->last == '\r';
+
+    parser->last = c;
+    if (c == '\0' || (c == '\n') != after_cr) {
+        return false;
+    }
+    if (c != '\r' && c != '\n') {
+        parser->line_empty = false;
+    }
+    return true;
+}
+
+/* How many bytes of data belong to the head; *complete if it ends there. */
+static size_t
+scan_head(BkH1Parser *parser, BkStr data, bool *complete)
+{
+    for (size_t i = 0; i < data.len; i++) {
+        if (!check_byte(parser, data.ptr[i])) {
+            fail(parser, BK_H1_MALFORMED);
+            return i;
+        }
+        if (data.ptr[i] == '\n') {
+            if (parser->line_empty && parser->any_line) {
+                *complete = true;
+                return i + 1;
+            }
+            parser->any_line = parser->any_line || !parser->line_empty;
+            parser->line_empty = true;
+        }
+    }
+    return data.len;
+}
+
+static size_t
+run_parser(BkH1Parser *parser, BkStr data)
+{
+    size_t n =
+        http_parser_execute(&parser->http, &callbacks, data.ptr, data.len);
+
+    if (parser->state != BK_H1_DONE &&
+        HTTP_PARSER_ERRNO(&parser->http) != HPE_OK) {
+        fail(parser, BK_H1_MALFORMED);
+    }
+    return n;
+}
+
+static size_t
+feed_head(BkH1Parser *parser, BkStr data)
+{
+    bool complete = false;
+
+    parser->state = BK_H1_HEAD;
+    size_t len = scan_head(parser, data, &complete);
+    parser->head_bytes += len;
+    if (parser->state == BK_H1_BAD) {
+        return len;
+    }
+    if (parser->head_bytes > parser->max_head) {
+        fail(parser, BK_H1_HEAD_TOO_LARGE);
+        return len;
+    }
+    run_parser(parser, (BkStr){data.ptr, len});
+    if (complete && parser->state == BK_H1_HEAD) {
+        fail(parser, BK_H1_MALFORMED);
+    }
+    return len;
+}
+
+size_t
+BkH1Parser_Feed(BkH1Parser *parser, BkStr data)
+{
+    size_t n = 0;
+
+    if (data.len == 0) {
+        return 0;
+    }
+    switch (parser->state) {
+    case BK_H1_IDLE:
+    case BK_H1_HEAD:
+        n = feed_head(parser, data);
+        break;
+    case BK_H1_BODY:
+        n = run_parser(parser, data);
+        break;
+    case BK_H1_DONE:
+    case BK_H1_BAD:
+        break;
+    }
+    if (parser->state == BK_H1_DONE && parser->kind == BK_H1_RESPONSE &&
+        parser->head.code / 100 == 1) {
+        bool bodiless = parser->bodiless;
+        if (parser->head.code == 101) {
+            fail(parser, BK_H1_MALFORMED);
+            return n;
+        }
+        BkH1Parser_Reset(parser, bodiless); /* an interim answer */
+        n += BkH1Parser_Feed(parser, (BkStr){data.ptr + n, data.len - n});
+    }
+    return n;
+}
+
+void
+BkH1Parser_Finish(BkH1Parser *parser)
+{
+    if (parser->state == BK_H1_BODY) {
+        http_parser_execute(&parser->http, &callbacks, NULL, 0);
+    }
+    if (parser->state != BK_H1_DONE) {
+        fail(parser, BK_H1_MALFORMED);
+    }
+}
+
+BkH1State
+BkH1Parser_State(const BkH1Parser *parser)
+{
+    return parser->state;
+}
+
+BkH1Fault
+BkH1Parser_Fault(const BkH1Parser *parser)
+{
+    return parser->fault;
+}
+
+const BkH1Head *
+BkH1Parser_Head(const BkH1Parser *parser)
+{
+    return &parser->head;
+}
