--- a/include/bk/base/str.h
+++ b/include/bk/base/str.h
@@ -55,6 +55,9 @@
 /* Parses all of s as a decimal number. ERRORS: BK_EINVAL, BK_ERANGE. */
 BkStatus BkStr_ToU64(BkStr s, uint64_t *out);
 
+/* A short key for a name, the same in all processes. */
+uint32_t BkStr_Key(BkStr s);
+
 /* An owned zero-terminated copy, freed by free(); never NULL (aborts). */
 char *BkStr_Dup(BkStr s);
 
--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -43,7 +43,7 @@
 
 typedef struct BkUp {
     char *id;
-    uint32_t key; /* BkFleet_Key of the id */
+    uint32_t key; /* BkStr_Key of the id */
     char *address;
     struct sockaddr_in sockaddr;
     char *service;
@@ -56,10 +56,12 @@
     bool listed;          /* found in the list that is being read */
     int slots;
     BkMs cold_until;
-    bool has_sequence;
-    uint64_t orders;
+    bool has_orders; /* it was asked, see BkUp_TakeHeld */
+    uint64_t orders; /* accepted since its start */
     uint32_t models[BK_UP_MAX_MODELS]; /* keys of names */
     int model_count;
+    uint32_t closing;   /* model that is about to be unloaded; 0: none */
+    BkMs closing_until; /* then reports are believed again */
     BkUpAdapter adapters[BK_UP_MAX_ADAPTERS];
     int adapter_count;
     uint32_t in_memory[BK_UP_MAX_AT_HAND];
@@ -93,9 +95,6 @@
     BkMs store_ill_until; /* outage, and the grace after it */
 } BkFleet;
 
-/* Key of a name: an id, a model, an adapter, a service. */
-uint32_t BkFleet_Key(BkStr name);
-
 void BkFleet_Destroy(BkFleet *fleet);
 
 /*
@@ -136,6 +135,13 @@
 bool BkUp_HoldsModel(const BkUp *up, uint32_t model);
 bool BkUp_HoldsAdapter(const BkUp *up, uint32_t model, uint32_t adapter);
 
+/* The model gets no new requests, whatever reports say, until then. */
+void BkUp_CloseModel(BkUp *up, uint32_t model, BkMs until);
+
+/* The engine holds just these, as it told itself after so many orders. */
+void BkUp_TakeHeld(BkUp *up, const BkUpReport *held, uint64_t orders,
+                   BkMs now);
+
 /* What was ordered there is done: the model or adapter is (not) held. */
 void BkUp_SetModel(BkUp *up, uint32_t model, bool held);
 void BkUp_SetAdapter(BkUp *up, uint32_t model, uint32_t adapter, bool held);
--- a/include/bk/fleet/report.h
+++ b/include/bk/fleet/report.h
@@ -30,8 +30,6 @@
     BkMs leaves_in;     /* until it is taken away; BK_MS_NEVER: not told */
     BkMs cold_for;      /* slow after its start for so long */
     uint64_t born;      /* start, in ms since 1970; 0: not told */
-    bool has_sequence;  /* whether orders is known */
-    uint64_t orders;    /* accepted since its start */
     BkHeldModel *models;
     int model_count;
     char **in_memory; /* weights at hand in memory */
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -29,7 +29,7 @@
 
 typedef struct BkPickQuery {
     const BkSiteEngine *engine; /* NULL: a plain service */
-    uint32_t service;           /* keys, see BkFleet_Key */
+    uint32_t service;           /* keys, see BkStr_Key */
     uint32_t model;             /* 0: none asked for */
     uint32_t adapter;           /* 0: none */
     int64_t prompt;             /* tokens */
--- /dev/null
+++ b/include/bk/plan/plan.h
@@ -0,0 +1,84 @@
+/*
+ * plan - which models belong on which engines of one service
+ *
+ * Pure. Every model keeps one copy at least; the places left over go to the
+ * models with the most work for each copy. A model whose work rises gets
+ * copies where they cost least: free room first, then in place of the copy
+ * that is needed least; weights at hand in the engine before those of the
+ * weight store. One order at a time is under way on an engine, and none is
+ * given that the engine's memory could not hold in the worst case.
+ */
+#ifndef BK_PLAN_PLAN_H
+#define BK_PLAN_PLAN_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bk/base/clock.h"
+#include "bk/fleet/fleet.h"
+
+enum {
+    BK_PLAN_MAX_MOVES = 16
+};
+
+typedef struct BkPlanConf {
+    double work_per_copy; /* tokens a second that one copy is meant for */
+    double gain;          /* a copy goes to a model whose work for each copy
+                             is so many times that of the one it replaces */
+    double idle;          /* tokens a second below which a model is idle */
+} BkPlanConf;
+
+typedef struct BkPlanModel {
+    uint32_t key;
+    double weights_mb;
+    BkMs load_store; /* time to load it, by where its weights are */
+    BkMs load_disk;
+    BkMs load_memory;
+    double work;     /* tokens a second that are asked of it */
+    int waiting;     /* requests that wait since no engine holds it */
+} BkPlanModel;
+
+typedef struct BkPlanEngine {
+    uint32_t key;
+    bool open;    /* may hold models for callers */
+    bool ordered; /* an order is under way or in doubt: it gets no other */
+    double room_mb;  /* for weights, adapters included */
+    double extra_mb; /* taken by adapters */
+    uint32_t held[BK_UP_MAX_MODELS];
+    int held_count;
+    uint32_t loading;   /* 0: none; counts as held for room and copies */
+    uint32_t unloading; /* 0: none; counts for room, not for copies */
+    uint32_t meant_for; /* 0: none; unloaded to make room for this model */
+    uint32_t in_memory[BK_UP_MAX_AT_HAND];
+    int in_memory_count;
+    uint32_t on_disk[BK_UP_MAX_AT_HAND];
+    int on_disk_count;
+} BkPlanEngine;
+
+typedef enum BkPlanMoveKind {
+    BK_PLAN_LOAD,
+    BK_PLAN_UNLOAD
+} BkPlanMoveKind;
+
+typedef struct BkPlanMove {
+    BkPlanMoveKind kind;
+    int engine;
+    int model;
+    int meant_for; /* of an unload: the model that the room is for */
+    bool from_store;
+    const char *why; /* a constant */
+} BkPlanMove;
+
+typedef struct BkPlanInput {
+    const BkPlanModel *models;
+    int model_count;
+    const BkPlanEngine *engines;
+    int engine_count;
+    int store_loads; /* that the weight store's limit allows now */
+} BkPlanInput;
+
+/* The moves to make now; returns how many. */
+int BkPlan_Decide(const BkPlanConf *conf, const BkPlanInput *input,
+                  BkPlanMove *moves, int max);
+
+#endif
--- a/include/bk/site/site.h
+++ b/include/bk/site/site.h
@@ -44,6 +44,7 @@
 
 typedef struct BkSiteModel {
     char *name;
+    uint32_t key; /* BkStr_Key of the name */
     double weights_mb;
     BkMs load_store;  /* time to load it from the weight store */
     BkMs load_memory; /* from the engine's own memory */
@@ -102,6 +103,10 @@
 /* NULL if the engine has no such model; an adapter's part is left out. */
 const BkSiteModel *BkSite_FindModel(const BkSiteEngine *engine, BkStr name);
 
+/* The same by BkStr_Key of the name. */
+const BkSiteModel *BkSite_FindModelKey(const BkSiteEngine *engine,
+                                       uint32_t key);
+
 /* Picks one of the route's services; draw is uniform in [0, 1). */
 const char *BkSite_PickService(const BkSiteRoute *route, double draw);
 
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     BUF_FIRST_CAP = 64
@@ -104,6 +105,12 @@
     return BK_OK;
 }
 
+uint32_t
+BkStr_Key(BkStr s)
+{
+    return XXH32(s.ptr, s.len, 0);
+}
+
 char *
 BkStr_Dup(BkStr s)
 {
--- a/src/bundle/lookup.c
+++ b/src/bundle/lookup.c
@@ -1,6 +1,5 @@
 #include <sodium.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "bk/bundle/bundle.h"
 
@@ -110,7 +109,7 @@
 uint32_t
 BkBundle_Key(BkStr name)
 {
-    return XXH32(name.ptr, name.len, 0);
+    return BkStr_Key(name);
 }
 
 void
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <stdlib.h>
 #include <string.h>
-#include <xxhash.h>
 
 #include "bk/base/log.h"
 
@@ -13,12 +12,6 @@
     FORGET_AFTER = 30000 /* ms that a gone upstream's id is remembered */
 };
 
-uint32_t
-BkFleet_Key(BkStr name)
-{
-    return XXH32(name.ptr, name.len, 0);
-}
-
 void
 BkUpReport_Destroy(BkUpReport *report)
 {
@@ -187,25 +180,76 @@
     int n = count < most ? count : most;
 
     for (int i = 0; i < n; i++) {
-        out[i] = BkFleet_Key(BkStr_FromC(names[i]));
+        out[i] = BkStr_Key(BkStr_FromC(names[i]));
     }
     return n;
 }
 
+/* adapters whose model is gone went with it */
+static void
+prune_adapters(BkUp *up)
+{
+    int kept = 0;
+
+    for (int i = 0; i < up->adapter_count; i++) {
+        if (BkUp_HoldsModel(up, up->adapters[i].model)) {
+            up->adapters[kept++] = up->adapters[i];
+        }
+    }
+    up->adapter_count = kept;
+}
+
+/* Adapters come and go quicker than reports are written, so that one that a
+   report lacks may be there all the same: it is kept until the planner or a
+   refusal says otherwise. */
 static void
-take_models(BkUp *up, const BkUpReport *report)
+take_models(BkUp *up, const BkUpReport *report, BkMs now)
 {
     up->model_count = 0;
-    up->adapter_count = 0;
     for (int i = 0; i < report->model_count; i++) {
         const BkHeldModel *held = &report->models[i];
-        uint32_t model = BkFleet_Key(BkStr_FromC(held->name));
+        uint32_t model = BkStr_Key(BkStr_FromC(held->name));
+        if (model == up->closing && now < up->closing_until) {
+            continue;
+        }
         BkUp_SetModel(up, model, true);
         for (int k = 0; k < held->adapter_count; k++) {
             BkUp_SetAdapter(up, model,
-                            BkFleet_Key(BkStr_FromC(held->adapters[k])), true);
+                            BkStr_Key(BkStr_FromC(held->adapters[k])), true);
         }
     }
+    prune_adapters(up);
+}
+
+static void
+take_at_hand(BkUp *up, const BkUpReport *report)
+{
+    up->in_memory_count =
+        take_keys(up->in_memory, BK_UP_MAX_AT_HAND, report->in_memory,
+                  report->in_memory_count);
+    up->on_disk_count = take_keys(up->on_disk, BK_UP_MAX_AT_HAND,
+                                  report->on_disk, report->on_disk_count);
+}
+
+void
+BkUp_TakeHeld(BkUp *up, const BkUpReport *held, uint64_t orders, BkMs now)
+{
+    if (up->has_orders && orders < up->orders) {
+        return; /* older than what is known */
+    }
+    up->has_orders = true;
+    up->orders = orders;
+    take_at_hand(up, held);
+    up->adapter_count = 0;
+    take_models(up, held, now);
+}
+
+void
+BkUp_CloseModel(BkUp *up, uint32_t model, BkMs until)
+{
+    up->closing = model;
+    up->closing_until = until;
+    BkUp_SetModel(up, model, false);
 }
 
 static BkUp *
@@ -215,10 +259,10 @@
 
     up->refs = 1;
     up->id = BkStr_Dup(BkStr_FromC(report->id));
-    up->key = BkFleet_Key(BkStr_FromC(report->id));
+    up->key = BkStr_Key(BkStr_FromC(report->id));
     up->address = BkStr_Dup(BkStr_FromC(report->address));
     up->service = BkStr_Dup(BkStr_FromC(report->service));
-    up->service_key = BkFleet_Key(BkStr_FromC(report->service));
+    up->service_key = BkStr_Key(BkStr_FromC(report->service));
     up->domain = BkStr_Dup(BkStr_FromC(report->domain));
     up->born = report->born;
     up->standing = BK_UP_LISTED;
@@ -294,14 +338,8 @@
     up->row_version = version;
     up->slots = report->slots;
     up->cold_until = now + report->cold_for;
-    up->has_sequence = report->has_sequence;
-    up->orders = report->orders;
-    up->in_memory_count =
-        take_keys(up->in_memory, BK_UP_MAX_AT_HAND, report->in_memory,
-                  report->in_memory_count);
-    up->on_disk_count = take_keys(up->on_disk, BK_UP_MAX_AT_HAND,
-                                  report->on_disk, report->on_disk_count);
-    take_models(up, report);
+    take_at_hand(up, report);
+    take_models(up, report, now);
     take_standing(fleet, up, report, now);
     fleet->changes++;
     return up;
@@ -467,6 +505,6 @@
     }
     if (held && up->adapter_count < BK_UP_MAX_ADAPTERS) {
         up->adapters[up->adapter_count++] =
-            (BkUpAdapter){.model = model, .name = adapter};
+            (BkUpAdapter){model, adapter};
     }
 }
--- /dev/null
+++ b/src/front/election.c
@@ -0,0 +1,212 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+#include "planner.h"
+
+/* Carries out what the lease asks for, against the table "planner": the row
+   "term" names the holder, "beat" is written at each renewal. */
+
+enum {
+    CALL_LIMIT = 800,  /* ms; a renewal later than this is no use */
+    HOLD_MARGIN = 300, /* ms less than the lease that the holder relies on it,
+                          besides the time an order may be under way */
+    RENEWALS = 4,      /* in a lease */
+    QUIET_SHARE = 3    /* part of the lease without word of the planner until
+                          the rows are read */
+};
+
+static const char table[] = "planner";
+
+void
+FrElection_Init(FrPlanner *planner)
+{
+    const FrConf *conf = &planner->front->conf;
+    BkLeaseConf lease = {.span = conf->lease,
+                         .hold = conf->lease - conf->fence_slack - HOLD_MARGIN,
+                         .renew = conf->lease / RENEWALS,
+                         .quiet = conf->lease / QUIET_SHARE};
+
+    planner->lease =
+        BkLease_Make(&lease, conf->name, BkRng_Next(&planner->front->rng));
+    planner->lease.epoch = planner->front->born;
+}
+
+static uint64_t
+get_number(const json_t *root, const char *name)
+{
+    return (uint64_t)json_integer_value(json_object_get(root, name));
+}
+
+static void
+take_rows(const BkStoreReply *reply, void *arg)
+{
+    FrPlanner *planner = arg;
+    BkLeaseRows rows = {.holder = ""};
+    json_t *term = NULL;
+    json_t *beat = NULL;
+
+    if (reply->status != BK_OK) {
+        BkLease_Failed(&planner->lease, BkClock_Now());
+        return;
+    }
+    for (int i = 0; i < reply->count; i++) {
+        const BkStoreRow *row = &reply->rows[i];
+        if (BkStr_Equal(row->key, BK_STR("term"))) {
+            term = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+            rows.term_version = row->version;
+        }
+        else if (BkStr_Equal(row->key, BK_STR("beat"))) {
+            beat = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+            rows.beat_version = row->version;
+        }
+    }
+    const char *holder = json_string_value(json_object_get(term, "holder"));
+    rows.term = get_number(term, "term");
+    rows.epoch = get_number(term, "epoch");
+    rows.holder = holder == NULL ? "" : holder;
+    rows.released = json_is_true(json_object_get(beat, "released")) &&
+                    get_number(beat, "term") == rows.term;
+    BkLease_TookRead(&planner->lease, &rows, BkClock_Now());
+    json_decref(term);
+    json_decref(beat);
+}
+
+static char *
+encode_beat(const FrPlanner *planner, uint64_t term, bool released)
+{
+    json_t *root = json_pack("{s:I, s:I, s:b}", "term", (json_int_t)term,
+                             "beat", (json_int_t)planner->beat, "released",
+                             released);
+    char *text = json_dumps(root, JSON_COMPACT);
+
+    json_decref(root);
+    return text;
+}
+
+static void
+take_claim(const BkStoreReply *reply, void *arg)
+{
+    FrPlanner *planner = arg;
+    BkLease *lease = &planner->lease;
+
+    switch (reply->status) {
+    case BK_OK:
+        BkLease_Claimed(lease, reply->version, reply->version);
+        break;
+    case BK_ECONFLICT:
+        BkLease_Conflict(lease, BkClock_Now());
+        break;
+    default:
+        BkLease_Failed(lease, BkClock_Now());
+        break;
+    }
+}
+
+static void
+claim(FrPlanner *planner)
+{
+    const BkLease *lease = &planner->lease;
+    uint64_t next = lease->term + 1;
+    json_t *root = json_pack("{s:I, s:s, s:I}", "term", (json_int_t)next,
+                             "holder", lease->me, "epoch",
+                             (json_int_t)lease->epoch);
+    char *term = json_dumps(root, JSON_COMPACT);
+    char *beat = encode_beat(planner, next, false);
+    BkStoreWrite writes[] = {{.key = "term",
+                              .version = lease->term_version,
+                              .check = true,
+                              .put = true,
+                              .value = BkStr_FromC(term)},
+                             {.key = "beat",
+                              .version = lease->beat_version,
+                              .check = true,
+                              .put = true,
+                              .value = BkStr_FromC(beat)}};
+
+    BkStore_Commit(planner->front->store, table, writes, 2, CALL_LIMIT,
+                   take_claim, planner);
+    json_decref(root);
+    free(term);
+    free(beat);
+}
+
+static void
+take_renewal(const BkStoreReply *reply, void *arg)
+{
+    FrPlanner *planner = arg;
+    BkLease *lease = &planner->lease;
+    BkMs now = BkClock_Now();
+
+    switch (reply->status) {
+    case BK_OK:
+        if (now < lease->sent_at + lease->conf.hold) {
+            BkLease_Renewed(lease);
+        }
+        else {
+            BkLease_Failed(lease, now); /* too late to rely on */
+        }
+        break;
+    case BK_ECONFLICT:
+        BkLease_Conflict(lease, now);
+        break;
+    default:
+        BkLease_Failed(lease, now);
+        break;
+    }
+}
+
+static void
+write_beat(FrPlanner *planner, bool released, BkStoreFn fn)
+{
+    const BkLease *lease = &planner->lease;
+    char *beat = encode_beat(planner, lease->term, released);
+    BkStoreWrite writes[] = {
+        {.key = "term", .version = lease->term_version, .check = true},
+        {.key = "beat", .put = true, .value = BkStr_FromC(beat)}};
+
+    planner->beat++;
+    BkStore_Commit(planner->front->store, table, writes, 2, CALL_LIMIT, fn,
+                   planner);
+    free(beat);
+}
+
+static void
+take_release(const BkStoreReply *reply, void *arg)
+{
+    BkLog_Event(BK_LOG_NOTICE, "planner", NULL, "lease given up", "s:s",
+                "result", BkStatus_Info(reply->status)->text);
+}
+
+void
+FrElection_Release(FrPlanner *planner)
+{
+    if (planner->lease.phase != BK_LEASE_HOLD) {
+        return;
+    }
+    write_beat(planner, true, take_release);
+    BkLease_GiveUp(&planner->lease, BkClock_Now());
+}
+
+void
+FrElection_Step(FrPlanner *planner, BkMs now)
+{
+    if (planner->released) {
+        return;
+    }
+    switch (BkLease_Next(&planner->lease, now)) {
+    case BK_LEASE_READ:
+        BkStore_Read(planner->front->store, table, NULL, CALL_LIMIT,
+                     take_rows, planner);
+        break;
+    case BK_LEASE_CLAIM:
+        claim(planner);
+        break;
+    case BK_LEASE_RENEW:
+        write_beat(planner, false, take_renewal);
+        break;
+    case BK_LEASE_NONE:
+        break;
+    }
+}
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -1,4 +1,5 @@
-#include "front.h"
+#include "peers.h"
+#include "planner.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -61,7 +62,7 @@
 int
 FrFront_CountDaemons(const FrFront *front)
 {
-    return 8;
+    return FrPeers_Count(front->peers);
 }
 
 bool
@@ -120,6 +121,8 @@
     }
     front->stopping = true;
     front->stop_at = BkClock_Now();
+    FrPlanner_Leave(front->planner);
+    FrPeers_Leave(front->peers);
     BkLog_Event(BK_LOG_NOTICE, "front", NULL, "stop", "s:i, s:i", "requests",
                 front->relay_count, "callers", front->caller_count);
 }
@@ -152,7 +155,7 @@
     front->listen_fd = -1;
     front->born = (uint64_t)BkClock_Wall();
     front->rng = BkRng_Make(front->born ^
-                            BkFleet_Key(BkStr_FromC(conf->name)));
+                            BkStr_Key(BkStr_FromC(conf->name)));
     front->metrics = FrMetrics_Get();
     front->loop = BkLoop_Create();
     front->http = BkHttpClient_Create(front->loop);
@@ -166,6 +169,12 @@
         FrFront_Destroy(front);
         return NULL;
     }
+    front->peers = FrPeers_Create(front);
+    if (front->peers == NULL) {
+        FrFront_Destroy(front);
+        return NULL;
+    }
+    front->planner = FrPlanner_Create(front);
     front->sync = FrSync_Create(front);
     BkTimer_Start(front->tick, TICK);
     return front;
@@ -195,8 +204,10 @@
         FrPool_CloseIdle(front->fleet.ups[i], BkClock_Now(), true);
     }
     reap(front);
-    BkFleet_Destroy(&front->fleet);
     FrSync_Destroy(front->sync);
+    FrPlanner_Destroy(front->planner);
+    FrPeers_Destroy(front->peers);
+    BkFleet_Destroy(&front->fleet);
     BkHttpServer_Destroy(front->ops);
     BkHttpClient_Destroy(front->http);
     BkStore_Destroy(front->store);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -29,6 +29,8 @@
 typedef struct FrCaller FrCaller;
 typedef struct FrRelay FrRelay;
 typedef struct FrLink FrLink;
+typedef struct FrPeers FrPeers;
+typedef struct FrPlanner FrPlanner;
 typedef struct FrSync FrSync;
 
 enum {
@@ -64,6 +66,8 @@
     BkSite *site;  /* NULL before the first */
     BkFleet fleet;
     FrSync *sync;
+    FrPeers *peers;
+    FrPlanner *planner;
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
     int budget_count;
@@ -234,6 +238,8 @@
     uint64_t last_event; /* passed on whole */
     const char *why;     /* a constant: what decided the outcome */
 
+    BkMs wished_at; /* an adapter was asked for */
+    bool not_held; /* it waits since no engine holds its model */
     bool queued;
     FrRelay *queue_prev;
     FrRelay *queue_next;
@@ -284,8 +290,9 @@
 FrSync *FrSync_Create(FrFront *front);
 void FrSync_Destroy(FrSync *sync);
 
-/* Another daemon has news of a newer configuration or list. */
-void FrSync_Hurry(FrSync *sync);
+/* Another daemon knows the configuration of this version, and changes of
+ * reports up to that version of the store. */
+void FrSync_TakeNews(FrSync *sync, uint64_t site, uint64_t reports, BkMs now);
 
 /* ops.c */
 BkStatus FrOps_Listen(FrFront *front);
--- /dev/null
+++ b/src/front/peers.c
@@ -0,0 +1,455 @@
+#include "peers.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/log.h"
+#include "bk/net/datagram.h"
+#include "planner.h"
+
+enum {
+    PERIOD = 100,        /* ms between rounds */
+    TOLD_A_ROUND = 7,    /* peers, so that the cost does not grow with them */
+    QUIET_EVERY = 10,    /* rounds, when there is no load to tell */
+    LOADS_STALE = 2000,  /* ms of silence until a peer's loads are dropped */
+    HEARD_LATELY = 5000, /* ms */
+    UNHEARD_EVERY = 10   /* rounds between words to one that is silent */
+};
+
+void
+FrPeer_DropLoads(FrPeer *peer)
+{
+    for (int i = 0; i < peer->load_count; i++) {
+        BkUp *up = peer->loads[i].up;
+        up->others_running -= peer->loads[i].running;
+        up->others_prompt -= peer->loads[i].prompt;
+        BkUp_Unref(up);
+    }
+    free(peer->loads);
+    peer->loads = NULL;
+    peer->load_count = 0;
+}
+
+static FrPeer *
+find_peer(const FrPeers *peers, BkStr name)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (BkStr_Equal(BkStr_FromC(peers->list[i]->name), name)) {
+            return peers->list[i];
+        }
+    }
+    return NULL;
+}
+
+static FrPeer *
+find_address(const FrPeers *peers, BkStr address)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (BkStr_Equal(BkStr_FromC(peers->list[i]->address), address)) {
+            return peers->list[i];
+        }
+    }
+    return NULL;
+}
+
+FrPeer *
+FrPeers_Add(FrPeers *peers, BkStr name, BkStr address)
+{
+    if (BkStr_Equal(name, BkStr_FromC(peers->front->conf.name)) ||
+        BkStr_Equal(address, BkStr_FromC(peers->front->conf.peers))) {
+        return NULL;
+    }
+    FrPeer *peer = name.len > 0 ? find_peer(peers, name) : NULL;
+    if (peer == NULL) {
+        peer = find_address(peers, address);
+    }
+    if (peer == NULL) {
+        if (peers->count == peers->cap) {
+            peers->cap = peers->cap == 0 ? 16 : peers->cap * 2;
+            peers->list = BkMem_Grow(peers->list, (size_t)peers->cap,
+                                     sizeof(FrPeer *));
+        }
+        peer = BkMem_New(1, sizeof(*peer));
+        peer->heard = BK_MS_NEVER;
+        peers->list[peers->count++] = peer;
+    }
+    if (name.len > 0 || peer->name == NULL) {
+        free(peer->name);
+        peer->name = BkStr_Dup(name);
+    }
+    if (peer->address == NULL ||
+        !BkStr_Equal(BkStr_FromC(peer->address), address)) {
+        free(peer->address);
+        peer->address = BkStr_Dup(address);
+    }
+    return peer;
+}
+
+static bool
+heard_lately(const FrPeer *peer, BkMs now)
+{
+    return peer->heard != BK_MS_NEVER && now - peer->heard < HEARD_LATELY;
+}
+
+int
+FrPeers_Count(const FrPeers *peers)
+{
+    return peers->count + 1;
+}
+
+static void
+fill_loads(const FrFront *front, bkp_news *news, bkp_load *loads)
+{
+    u_int n = 0;
+
+    for (int i = 0; i < front->fleet.count && n < BKP_MAX_LOADS; i++) {
+        const BkUp *up = front->fleet.ups[i];
+        if (up->own_running > 0) {
+            loads[n++] = (bkp_load){up->key, (u_int)up->own_running,
+                                    (u_int)up->own_prompt};
+        }
+    }
+    news->loads.loads_len = n;
+    news->loads.loads_val = loads;
+}
+
+static void
+fill_leaving(const FrFront *front, bkp_news *news, bkp_leaving *leaving)
+{
+    u_int n = 0;
+
+    for (int i = 0; i < front->fleet.count && n < BKP_MAX_LEAVING; i++) {
+        const BkUp *up = front->fleet.ups[i];
+        if (up->standing == BK_UP_LEAVING) {
+            leaving[n++] = (bkp_leaving){up->key, up->born};
+        }
+    }
+    news->leaving.leaving_len = n;
+    news->leaving.leaving_val = leaving;
+}
+
+/* a few others, so that daemons without the store find each other */
+static void
+fill_members(FrPeers *peers, bkp_news *news, bkp_member *members)
+{
+    u_int n = 0;
+    BkMs now = BkClock_Now();
+
+    for (int i = 0; i < BKP_MAX_MEMBERS && peers->count > 0; i++) {
+        FrPeer *peer = peers->list[BkRng_Below(&peers->front->rng,
+                                               (uint32_t)peers->count)];
+        if (heard_lately(peer, now)) {
+            members[n++] = (bkp_member){peer->name, peer->address};
+        }
+    }
+    news->members.members_len = n;
+    news->members.members_val = members;
+}
+
+typedef struct NewsParts {
+    bkp_load loads[BKP_MAX_LOADS];
+    bkp_leaving leaving[BKP_MAX_LEAVING];
+    bkp_member members[BKP_MAX_MEMBERS];
+} NewsParts;
+
+static void
+fill_news(FrPeers *peers, bkp_news *news, NewsParts *parts)
+{
+    FrFront *front = peers->front;
+
+    *news = (bkp_news){
+        .name = front->conf.name,
+        .born = front->born,
+        .site = front->site == NULL ? 0 : front->site->version,
+        .reports = front->fleet.version,
+        .term = FrPlanner_Term(front->planner),
+        .plans = FrPlanner_IsActive(front->planner, BkClock_Now()),
+        .stopping = front->stopping};
+    fill_loads(front, news, parts->loads);
+    fill_leaving(front, news, parts->leaving);
+    fill_members(peers, news, parts->members);
+}
+
+void
+FrPeers_TellAll(FrPeers *peers)
+{
+    bkp_news news;
+    NewsParts parts;
+
+    if (peers->datagram == NULL) {
+        return;
+    }
+    fill_news(peers, &news, &parts);
+    for (int i = 0; i < peers->count; i++) {
+        BkDatagram_Send(peers->datagram, peers->list[i]->address, BKP_NEWS,
+                        &news);
+    }
+}
+
+static void
+tell_some(FrPeers *peers, BkMs now)
+{
+    bkp_news news;
+    NewsParts parts;
+    int told = 0;
+
+    fill_news(peers, &news, &parts);
+    if (news.loads.loads_len == 0 && !news.plans &&
+        peers->round % QUIET_EVERY != 0) {
+        return;
+    }
+    for (int i = 0; i < peers->count && told < TOLD_A_ROUND; i++) {
+        const FrPeer *peer = peers->list[peers->next++ % peers->count];
+        if (!heard_lately(peer, now) && peers->round % UNHEARD_EVERY != 0) {
+            continue;
+        }
+        BkDatagram_Send(peers->datagram, peer->address, BKP_NEWS, &news);
+        told++;
+    }
+}
+
+bool
+FrPeers_SendPlanner(FrPeers *peers, int proc, const void *message)
+{
+    FrPeer *peer = find_peer(peers, BkStr_FromC(peers->planner));
+
+    if (peer == NULL || peers->planner[0] == '\0') {
+        return false;
+    }
+    return BkDatagram_Send(peers->datagram, peer->address, (rpcproc_t)proc,
+                           message) == BK_OK;
+}
+
+void
+FrPeers_SendAll(FrPeers *peers, int proc, const void *message)
+{
+    BkMs now = BkClock_Now();
+
+    for (int i = 0; i < peers->count; i++) {
+        if (heard_lately(peers->list[i], now)) {
+            BkDatagram_Send(peers->datagram, peers->list[i]->address,
+                            (rpcproc_t)proc, message);
+        }
+    }
+}
+
+static void
+take_loads(FrPeers *peers, FrPeer *peer, const bkp_news *news)
+{
+    FrFront *front = peers->front;
+    u_int count = news->loads.loads_len;
+
+    FrPeer_DropLoads(peer);
+    if (count == 0) {
+        return;
+    }
+    peer->loads = BkMem_New(count, sizeof(*peer->loads));
+    for (u_int i = 0; i < count; i++) {
+        const bkp_load *load = &news->loads.loads_val[i];
+        BkUp *up = BkFleet_FindKey(&front->fleet, load->up);
+        if (up == NULL) {
+            continue;
+        }
+        FrPeerLoad *kept = &peer->loads[peer->load_count++];
+        *kept = (FrPeerLoad){BkUp_Ref(up), (int)load->running,
+                             (int64_t)load->prompt};
+        up->others_running += kept->running;
+        up->others_prompt += kept->prompt;
+    }
+}
+
+static void
+take_leaving(FrFront *front, const bkp_news *news, BkMs now)
+{
+    for (u_int i = 0; i < news->leaving.leaving_len; i++) {
+        const bkp_leaving *leaving = &news->leaving.leaving_val[i];
+        BkUp *up = BkFleet_FindKey(&front->fleet, leaving->up);
+        if (up != NULL && up->born == leaving->born &&
+            up->standing != BK_UP_LEAVING) {
+            BkFleet_MarkLeaving(&front->fleet, up, now);
+        }
+    }
+}
+
+static void
+take_planner(FrPeers *peers, const bkp_news *news, BkMs now)
+{
+    if (!news->plans || news->term < peers->term) {
+        return;
+    }
+    peers->term = news->term;
+    peers->planner_heard = now;
+    if (strcmp(peers->planner, news->name) != 0) {
+        snprintf(peers->planner, sizeof(peers->planner), "%s", news->name);
+        BkLog_Event(BK_LOG_NOTICE, "peers", NULL, "planner", "s:s, s:I",
+                    "name", news->name, "term", (json_int_t)news->term);
+    }
+    FrPlanner_Heard(peers->front->planner, news->term, now);
+}
+
+static void
+take_news(const void *message, const char *from, void *arg)
+{
+    FrPeers *peers = arg;
+    FrFront *front = peers->front;
+    const bkp_news *news = message;
+    BkMs now = BkClock_Now();
+    FrPeer *peer = FrPeers_Add(peers, BkStr_FromC(news->name),
+                               BkStr_FromC(from));
+
+    if (peer == NULL || (peer->born > news->born && peer->born != 0)) {
+        return; /* its own, or from before the peer's restart */
+    }
+    if (!heard_lately(peer, now)) {
+        BkLog_Event(BK_LOG_INFO, "peers", NULL, "peer heard", "s:s, s:I",
+                    "name", news->name, "born", (json_int_t)news->born);
+    }
+    peer->born = news->born;
+    peer->heard = now;
+    peer->stopping = news->stopping != 0;
+    take_loads(peers, peer, news);
+    take_leaving(front, news, now);
+    take_planner(peers, news, now);
+    for (u_int i = 0; i < news->members.members_len; i++) {
+        FrPeers_Add(peers, BkStr_FromC(news->members.members_val[i].name),
+                    BkStr_FromC(news->members.members_val[i].address));
+    }
+    FrSync_TakeNews(front->sync, news->site, news->reports, now);
+    FrQueue_WakeSoon(front, 0);
+}
+
+static void
+take_demands(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrPlanner_TakeDemands(peers->front->planner, message, BkClock_Now());
+}
+
+static void
+take_wish(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+    const bkp_wish *wish = message;
+
+    FrPlanner_TakeWish(peers->front->planner, wish->up, wish->model,
+                       wish->adapter, BkClock_Now());
+}
+
+static void
+take_changes(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+    const bkp_changes *changes = message;
+
+    if (changes->term >= peers->term) {
+        FrPlanner_ApplyChanges(peers->front, changes);
+    }
+}
+
+static const BkDatagramProc procs[] = {
+    {BKP_CHANGES, "changes", (xdrproc_t)xdr_bkp_changes, sizeof(bkp_changes),
+     take_changes},
+    {BKP_DEMANDS, "demands", (xdrproc_t)xdr_bkp_demands, sizeof(bkp_demands),
+     take_demands},
+    {BKP_NEWS, "news", (xdrproc_t)xdr_bkp_news, sizeof(bkp_news), take_news},
+    {BKP_WISH, "wish", (xdrproc_t)xdr_bkp_wish, sizeof(bkp_wish), take_wish},
+};
+
+static void
+drop_silent(FrPeers *peers, BkMs now)
+{
+    for (int i = 0; i < peers->count; i++) {
+        FrPeer *peer = peers->list[i];
+        if (peer->load_count > 0 && now - peer->heard >= LOADS_STALE) {
+            FrPeer_DropLoads(peer);
+        }
+    }
+    if (peers->planner[0] != '\0' &&
+        now - peers->planner_heard >= HEARD_LATELY) {
+        BkLog_Event(BK_LOG_NOTICE, "peers", NULL, "planner lost", "s:s, s:I",
+                    "name", peers->planner, "term", (json_int_t)peers->term);
+        peers->planner[0] = '\0';
+    }
+}
+
+static void
+on_round(void *arg)
+{
+    FrPeers *peers = arg;
+    BkMs now = BkClock_Now();
+
+    peers->round++;
+    if (peers->count > 0) {
+        tell_some(peers, now);
+    }
+    drop_silent(peers, now);
+    FrMembers_Step(peers, now);
+    BkTimer_Start(peers->timer, PERIOD);
+}
+
+/* seeds are addresses of other services of the VMs; ours has the same port
+   on all of them */
+static void
+add_seeds(FrPeers *peers)
+{
+    BkStr rest = BkStr_FromC(peers->front->conf.seeds);
+    BkStr port = BkStr_FromC(peers->front->conf.peers);
+    char address[BKP_NAME + 1];
+
+    BkStr_Split(&port, ':');
+    while (rest.len > 0) {
+        BkStr seed = BkStr_Trim(BkStr_Split(&rest, ','));
+        BkStr host = BkStr_Split(&seed, ':');
+        snprintf(address, sizeof(address), "%.*s:%.*s", BK_STR_ARG(host),
+                 BK_STR_ARG(port));
+        if (host.len > 0) {
+            FrPeers_Add(peers, BK_STR(""), BkStr_FromC(address));
+        }
+    }
+}
+
+FrPeers *
+FrPeers_Create(FrFront *front)
+{
+    FrPeers *peers = BkMem_New(1, sizeof(*peers));
+    BkDatagramSpec spec = {
+        .listen = front->conf.peers,
+        .program = BKP_PROGRAM,
+        .version = BKP_VERSION,
+        .procs = procs,
+        .count = sizeof(procs) / sizeof(procs[0]),
+        .garbage = BkCounter_Get("bk_peer_garbage_total", NULL,
+                                 "datagrams that could not be decoded"),
+        .arg = peers};
+
+    peers->front = front;
+    peers->datagram = BkDatagram_Create(front->loop, &spec);
+    if (peers->datagram == NULL) {
+        free(peers);
+        return NULL;
+    }
+    add_seeds(peers);
+    peers->timer = BkTimer_Create(front->loop, on_round, peers);
+    BkTimer_Start(peers->timer, PERIOD);
+    return peers;
+}
+
+void
+FrPeers_Destroy(FrPeers *peers)
+{
+    if (peers == NULL) {
+        return;
+    }
+    for (int i = 0; i < peers->count; i++) {
+        FrPeer_DropLoads(peers->list[i]);
+        free(peers->list[i]->name);
+        free(peers->list[i]->address);
+        free(peers->list[i]);
+    }
+    free(peers->list);
+    BkTimer_Destroy(peers->timer);
+    BkDatagram_Destroy(peers->datagram);
+    free(peers);
+}
--- /dev/null
+++ b/src/front/peers.h
@@ -0,0 +1,74 @@
+/*
+ * peers - what the daemons tell each other
+ *
+ * Each daemon tells the others a few times a second which configuration and
+ * reports it knows, its own requests at each upstream, and who leaves. From
+ * that, all correct the load that they see, learn of changes that their own
+ * feed is late with, and know whether the planner lives.
+ */
+#ifndef BK_FRONT_PEERS_H
+#define BK_FRONT_PEERS_H
+
+#include "bk/peer/gen/peer_xdr.h"
+#include "front.h"
+
+/* Requests there of one other daemon. */
+typedef struct FrPeerLoad {
+    BkUp *up;
+    int running;
+    int64_t prompt;
+} FrPeerLoad;
+
+typedef struct FrPeer {
+    char *name;
+    char *address; /* "ip:port" of its datagrams */
+    uint64_t born; /* 0: not heard of yet */
+    BkMs heard;    /* BK_MS_NEVER: never */
+    bool stopping;
+    FrPeerLoad *loads;
+    int load_count;
+} FrPeer;
+
+struct FrPeers {
+    FrFront *front;
+    struct BkDatagram *datagram;
+    FrPeer **list; /* in order of their names */
+    int count;
+    int cap;
+    int next; /* to be told */
+    BkTimer *timer;
+    int round;
+    BkMs row_at;      /* when the table is read or written next */
+    bool row_written; /* this daemon's own */
+    bool calling;
+    char planner[BKP_NAME + 1]; /* name; "" if none is heard */
+    uint64_t term;
+    BkMs planner_heard;
+};
+
+FrPeers *FrPeers_Create(FrFront *front);
+void FrPeers_Destroy(FrPeers *peers);
+
+/* Tells all of them now. */
+void FrPeers_TellAll(FrPeers *peers);
+
+/* Sends a message to the planner; false if none is known. */
+bool FrPeers_SendPlanner(FrPeers *peers, int proc, const void *message);
+
+/* Sends a message to all that were heard of lately. */
+void FrPeers_SendAll(FrPeers *peers, int proc, const void *message);
+
+/* Daemons known, this one included. */
+int FrPeers_Count(const FrPeers *peers);
+
+/* At a planned stop: takes this daemon's row out of the table. */
+void FrPeers_Leave(FrPeers *peers);
+
+/* Adds a seed or member; the name may be "" until it is heard. */
+FrPeer *FrPeers_Add(FrPeers *peers, BkStr name, BkStr address);
+void FrPeer_DropLoads(FrPeer *peer);
+
+/* members.c: the table of daemons */
+void FrMembers_Step(FrPeers *peers, BkMs now);
+
+#endif
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -1,4 +1,4 @@
-#include "front.h"
+#include "planner.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -10,8 +10,11 @@
 enum {
     ANSWER_HELD = 64 * 1024, /* bytes of an answer kept before it is passed
                                 on, so that a cut one can be replaced */
+    OUTPUT_WEIGHT = 4,       /* tokens of a prompt that one of an answer is
+                                worth of an engine's time, in a batch */
     BEFORE_DEADLINE = 15,    /* ms; an answer at the deadline is too late */
     NO_TIMEOUT = 60000,      /* ms, where neither side names a time */
+    WISH_AGAIN = 60,         /* ms until an adapter is asked for again */
     RETRY_NOBODY = 500,      /* ms; Retry-After when no upstream is usable */
     AVOID_FIRST = 300,       /* ms an upstream is avoided after a failure */
     AVOID_MOST = 5000        /* ms, after many in a row */
@@ -236,6 +239,10 @@
     up->own_running++;
     up->own_prompt += relay->query.prompt;
     relay->unread = true;
+    if (relay->query.adapter != 0) {
+        FrPlanner_NoteUse(front->planner, up, relay->query.model,
+                          relay->query.adapter);
+    }
     relay->sends++;
     relay->sent_at = now;
     if (relay->stage == FR_WAITING) {
@@ -280,11 +287,18 @@
     BkPickChoice choice =
         BkPick_Choose(&conf, &front->fleet, &relay->query, now);
     relay->query.engine = NULL; /* the site may be replaced */
+    relay->not_held = choice.verdict == BK_PICK_NOT_HELD;
     switch (choice.verdict) {
     case BK_PICK_SEND:
         FrQueue_Remove(relay);
         return send_to(relay, choice.up, now);
     case BK_PICK_ADAPTER:
+        if (now - relay->wished_at >= WISH_AGAIN) {
+            relay->wished_at = now;
+            FrPlanner_Wish(front, choice.up, relay->model, relay->adapter);
+        }
+        FrQueue_Add(relay);
+        return false;
     case BK_PICK_FULL:
     case BK_PICK_NOT_HELD:
         FrQueue_Add(relay);
@@ -358,7 +372,9 @@
                 "may_have_run", ran, "after_ms",
                 (json_int_t)(now - relay->sent_at), "sends", relay->sends,
                 "code", relay->last_code);
-    note_tried(relay, up);
+    if (!BkAdapter_IsMisdirected(relay->last_code) || ran) {
+        note_tried(relay, up); /* else it may hold the model again soon */
+    }
     abort_attempt(relay);
     try_again(relay, why);
 }
@@ -495,7 +511,9 @@
     relay->last_code = head->code;
     release_link(relay);
     end_attempt(relay, false, !stranger && head->code == 503,
-                "the upstream refused it");
+                stranger || head->code == 503
+                    ? "the upstream refused it"
+                    : "the upstream does not hold the model");
     return FR_TAKE_LEFT;
 }
 
@@ -655,16 +673,16 @@
 {
     BkPickQuery *query = &relay->query;
 
-    query->service = BkFleet_Key(BkStr_FromC(relay->service));
+    query->service = BkStr_Key(BkStr_FromC(relay->service));
     query->domain = relay->front->conf.domain;
     query->prompt = says->prompt;
     if (says->model.len > 0) {
         relay->model = BkStr_Dup(says->model);
-        query->model = BkFleet_Key(says->model);
+        query->model = BkStr_Key(says->model);
     }
     if (says->adapter.len > 0) {
         relay->adapter = BkStr_Dup(says->adapter);
-        query->adapter = BkFleet_Key(says->adapter);
+        query->adapter = BkStr_Key(says->adapter);
     }
     if (route->sticky && says->part_count > 1) {
         query->shared = hash_shared(says) ^ query->model;
@@ -756,6 +774,10 @@
     build_head(relay, head);
     BkBudget_Earn(FrFront_Budget(front, relay->query.service),
                   &(BkBudgetConf){.window = front->conf.retry_window}, now);
+    if (relay->model != NULL) {
+        FrPlanner_NoteRequest(front->planner, relay->query.model,
+                              says.prompt + OUTPUT_WEIGHT * says.output);
+    }
     if (relay->until <= now) {
         FrRelay_Refuse(relay, 503, "the deadline has passed", 0);
         return;
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -3,6 +3,7 @@
 
 #include "bk/base/log.h"
 #include "front.h"
+#include "peers.h"
 
 /* One for each of the two tables that others write: read whole, then follow
    the feed; whole again when the feed lost its history. */
@@ -13,6 +14,8 @@
     READ_LIMIT = 1500, /* ms for a whole list */
     PAUSE_FIRST = 60,  /* ms before a call that failed is made again */
     PAUSE_MOST = 600,  /* ms, doubled from the first on */
+    HURRY_AGAIN = 300, /* ms between two hurries */
+    FEED_LAG = 250,    /* ms that feeds of two daemons may differ */
     SLOW_ANSWER = 400  /* ms; an answer later than this is a sign of illness */
 };
 
@@ -34,6 +37,8 @@
     BkMs called_at;
     BkMs pause;
     BkTimer *timer;
+    BkMs hurried_at;
+    BkMs behind_at; /* since when another daemon knows more; 0: none does */
     uint64_t call; /* number of the newest call; others' answers are void */
 } Follower;
 
@@ -86,6 +91,7 @@
                 "routes", site->route_count);
     BkSite_Destroy(front->site);
     front->site = site;
+    FrPeers_TellAll(front->peers);
     FrQueue_WakeSoon(front, 0);
 }
 
@@ -94,6 +100,9 @@
 {
     BkUpReport report;
 
+    if (row->version > front->fleet.version) {
+        front->fleet.version = row->version;
+    }
     if (row->gone) {
         BkFleet_TakeRemoval(&front->fleet, row->key, row->version, now);
         return;
@@ -282,14 +291,39 @@
     free(sync);
 }
 
+/* The present call may hang, or its feed be silent: its answer is void, and
+   all is read again. */
+static void
+hurry(Follower *follower, BkMs now)
+{
+    if (now - follower->hurried_at < HURRY_AGAIN) {
+        return;
+    }
+    BkLog_Event(BK_LOG_NOTICE, "sync", NULL, "behind another daemon",
+                "s:s, s:I", "table", follower->table, "version",
+                (json_int_t)follower->version);
+    follower->hurried_at = now;
+    follower->whole = false;
+    follower->listing = false;
+    call_again(follower, 0);
+}
+
 void
-FrSync_Hurry(FrSync *sync)
+FrSync_TakeNews(FrSync *sync, uint64_t site, uint64_t reports, BkMs now)
 {
-    for (int i = 0; i < TOPIC_COUNT; i++) {
-        Follower *follower = &sync->followers[i];
-        /* the present call may hang; its answer will not be missed */
-        follower->whole = false;
-        follower->listing = false;
-        call_again(follower, 0);
+    const FrFront *front = sync->front;
+    Follower *list = &sync->followers[TOPIC_REPORTS];
+
+    if (site > (front->site == NULL ? 0 : front->site->version)) {
+        hurry(&sync->followers[TOPIC_SITE], now);
+    }
+    if (reports <= list->version) {
+        list->behind_at = 0;
+    }
+    else if (list->behind_at == 0) {
+        list->behind_at = now;
+    }
+    else if (now - list->behind_at >= FEED_LAG) {
+        hurry(list, now);
     }
 }
--- /dev/null
+++ b/src/net/datagram.c
@@ -0,0 +1,220 @@
+#include "bk/net/datagram.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <rpc/rpc_msg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bk/base/str.h"
+
+enum {
+    MAX_DATAGRAM = 4096,
+    MAX_PER_WAKE = 64, /* so that a flood cannot starve the loop */
+    ADDR_TEXT = 32
+};
+
+struct BkDatagram {
+    int fd;
+    BkWatch *watch;
+    BkDatagramSpec spec;
+    uint32_t next_xid;
+};
+
+static void
+count_message(const char *kind, const char *dir, size_t bytes)
+{
+    char labels[64];
+
+    snprintf(labels, sizeof(labels), "kind=\"%s\",dir=\"%s\"", kind, dir);
+    BkCounter_Add(BkCounter_Get("bk_control_bytes_total", labels,
+                                "bytes of control traffic"),
+                  (int64_t)bytes);
+    BkCounter_Add(BkCounter_Get("bk_control_messages_total", labels,
+                                "messages of control traffic"),
+                  1);
+}
+
+static BkStatus
+parse_addr(const char *text, struct sockaddr_in *out)
+{
+    BkStr port = BkStr_FromC(text);
+    BkStr host = BkStr_Split(&port, ':');
+    char ip[ADDR_TEXT];
+    uint64_t number;
+
+    memset(out, 0, sizeof(*out));
+    out->sin_family = AF_INET;
+    snprintf(ip, sizeof(ip), "%.*s", BK_STR_ARG(host));
+    if (inet_pton(AF_INET, ip, &out->sin_addr) != 1 ||
+        BkStr_ToU64(port, &number) != BK_OK || number > UINT16_MAX) {
+        return BkErr_Set(BK_EINVAL, "\"%s\" is not ip:port", text);
+    }
+    out->sin_port = htons((uint16_t)number);
+    return BK_OK;
+}
+
+static void
+format_addr(const struct sockaddr_in *from, char *text, size_t size)
+{
+    char ip[INET_ADDRSTRLEN];
+
+    inet_ntop(AF_INET, &from->sin_addr, ip, sizeof(ip));
+    snprintf(text, size, "%s:%u", ip, ntohs(from->sin_port));
+}
+
+static const BkDatagramProc *
+find_proc(const BkDatagram *datagram, rpcproc_t proc)
+{
+    for (int i = 0; i < datagram->spec.count; i++) {
+        if (datagram->spec.procs[i].proc == proc) {
+            return &datagram->spec.procs[i];
+        }
+    }
+    return NULL;
+}
+
+static bool
+deliver(const BkDatagram *datagram, const BkDatagramProc *proc, XDR *xdr,
+        const char *from, size_t bytes)
+{
+    void *message = BkMem_New(1, proc->size);
+    bool good = proc->codec(xdr, message);
+
+    if (good) {
+        count_message(proc->name, "in", bytes);
+        proc->take(message, from, datagram->spec.arg);
+    }
+    xdr_free(proc->codec, message);
+    free(message);
+    return good;
+}
+
+bool
+BkDatagram_Take(BkDatagram *datagram, char *data, size_t len, const char *from)
+{
+    struct rpc_msg call = {0};
+    char cred[MAX_AUTH_BYTES];
+    char verf[MAX_AUTH_BYTES];
+    XDR xdr;
+    bool good = false;
+
+    call.rm_call.cb_cred.oa_base = cred;
+    call.rm_call.cb_verf.oa_base = verf;
+    xdrmem_create(&xdr, data, (u_int)len, XDR_DECODE);
+    if (xdr_callmsg(&xdr, &call) && call.rm_direction == CALL &&
+        call.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
+        call.rm_call.cb_prog == datagram->spec.program &&
+        call.rm_call.cb_vers == datagram->spec.version) {
+        const BkDatagramProc *proc =
+            find_proc(datagram, call.rm_call.cb_proc);
+        good = proc != NULL && deliver(datagram, proc, &xdr, from, len);
+    }
+    XDR_DESTROY(&xdr);
+    return good;
+}
+
+static void
+read_datagrams(int fd, int events, void *arg)
+{
+    BkDatagram *datagram = arg;
+    char data[MAX_DATAGRAM];
+    char text[ADDR_TEXT];
+    struct sockaddr_in from;
+
+    for (int i = 0; i < MAX_PER_WAKE; i++) {
+        socklen_t from_len = sizeof(from);
+        ssize_t n = recvfrom(fd, data, sizeof(data), 0,
+                             (struct sockaddr *)&from, &from_len);
+        if (n < 0) {
+            return;
+        }
+        format_addr(&from, text, sizeof(text));
+        if (!BkDatagram_Take(datagram, data, (size_t)n, text)) {
+            BkCounter_Add(datagram->spec.garbage, 1);
+        }
+    }
+}
+
+BkDatagram *
+BkDatagram_Create(BkLoop *loop, const BkDatagramSpec *spec)
+{
+    struct sockaddr_in addr;
+
+    if (parse_addr(spec->listen, &addr) != BK_OK) {
+        return NULL;
+    }
+    int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0 || bind(fd, (struct sockaddr *)&addr, sizeof(addr)) != 0) {
+        BkErr_Set(BK_EIO, "datagrams on %s: %s", spec->listen,
+                  strerror(errno));
+        if (fd >= 0) {
+            close(fd);
+        }
+        return NULL;
+    }
+    BkDatagram *datagram = BkMem_New(1, sizeof(*datagram));
+    datagram->fd = fd;
+    datagram->spec = *spec;
+    datagram->watch =
+        BkLoop_Watch(loop, fd, BK_LOOP_READ, read_datagrams, datagram);
+    return datagram;
+}
+
+void
+BkDatagram_Destroy(BkDatagram *datagram)
+{
+    if (datagram == NULL) {
+        return;
+    }
+    BkWatch_Destroy(datagram->watch);
+    close(datagram->fd);
+    free(datagram);
+}
+
+static bool
+encode_call(BkDatagram *datagram, XDR *xdr, rpcproc_t proc)
+{
+    struct rpc_msg call = {0};
+
+    call.rm_xid = datagram->next_xid++;
+    call.rm_direction = CALL;
+    call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+    call.rm_call.cb_prog = datagram->spec.program;
+    call.rm_call.cb_vers = datagram->spec.version;
+    call.rm_call.cb_proc = proc;
+    return xdr_callmsg(xdr, &call);
+}
+
+BkStatus
+BkDatagram_Send(BkDatagram *datagram, const char *to, rpcproc_t number,
+                const void *message)
+{
+    const BkDatagramProc *proc = find_proc(datagram, number);
+    char data[MAX_DATAGRAM];
+    struct sockaddr_in addr;
+    XDR xdr;
+
+    if (parse_addr(to, &addr) != BK_OK) {
+        return BK_EINVAL;
+    }
+    xdrmem_create(&xdr, data, sizeof(data), XDR_ENCODE);
+    bool good = encode_call(datagram, &xdr, number) &&
+                proc->codec(&xdr, (void *)message);
+    size_t len = XDR_GETPOS(&xdr);
+    XDR_DESTROY(&xdr);
+    if (!good) {
+        return BkErr_Set(BK_EDECODE, "a %s does not fit its message",
+                         proc->name);
+    }
+    count_message(proc->name, "out", len);
+    if (sendto(datagram->fd, data, len, 0, (struct sockaddr *)&addr,
+               sizeof(addr)) < 0) {
+        return BkErr_Set(BK_EIO, "datagram to %s: %s", to, strerror(errno));
+    }
+    return BK_OK;
+}
--- a/src/site/site.c
+++ b/src/site/site.c
@@ -107,6 +107,10 @@
         if (engine != NULL) {
             qsort(engine->models, (size_t)engine->model_count,
                   sizeof(*engine->models), sort_models);
+            for (int m = 0; m < engine->model_count; m++) {
+                engine->models[m].key =
+                    BkStr_Key(BkStr_FromC(engine->models[m].name));
+            }
         }
     }
 }
@@ -204,6 +208,17 @@
     return NULL;
 }
 
+const BkSiteModel *
+BkSite_FindModelKey(const BkSiteEngine *engine, uint32_t key)
+{
+    for (int i = 0; i < engine->model_count; i++) {
+        if (engine->models[i].key == key) {
+            return &engine->models[i];
+        }
+    }
+    return NULL;
+}
+
 const char *
 BkSite_PickService(const BkSiteRoute *route, double draw)
 {
