planner: a ledger of adapter slots of its own

A front that is refused an adapter forgets it for routing; the planner must not, since an adapter on its way has its slot.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -138,8 +138,9 @@
 /* The model gets no new requests, whatever reports say, until then. */
 void BkUp_CloseModel(BkUp *up, uint32_t model, BkMs until);
 
-/* The engine holds just these, as it told itself after so many orders. */
-void BkUp_TakeHeld(BkUp *up, const BkUpReport *held, uint64_t orders,
+/* The engine holds just these, as it told itself after so many orders; false
+ * if more orders are known of: then nothing changes. */
+bool BkUp_TakeHeld(BkUp *up, const BkUpReport *held, uint64_t orders,
                    BkMs now);
 
 /* What was ordered there is done: the model or adapter is (not) held. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -231,17 +231,18 @@
                                   report->on_disk, report->on_disk_count);
 }
 
-void
+bool
 BkUp_TakeHeld(BkUp *up, const BkUpReport *held, uint64_t orders, BkMs now)
 {
     if (up->has_orders && orders < up->orders) {
-        return; /* older than what is known */
+        return false;
     }
     up->has_orders = true;
     up->orders = orders;
     take_at_hand(up, held);
     up->adapter_count = 0;
     take_models(up, held, now);
+    return true;
 }
 
 void
--- a/src/front/adapters.c
+++ b/src/front/adapters.c
@@ -7,7 +7,11 @@
 
 enum {
     WANT_STALE = 1500,  /* ms after which nobody waits for it any more */
-    FRESH_USE = 250,    /* ms since its last use that an adapter is kept */
+    FRESH_USE = 2500,   /* ms since a request went to it that an adapter is
+                           kept: longer than most answers take */
+    ARRIVAL = 12,       /* ms that an adapter takes to an engine, as a rule */
+    JUST_ORDERED = 600, /* ms since its order that one is not ordered again,
+                           though somebody was refused it */
     MAX_ADAPTER_NAME = 16
 };
 
@@ -37,54 +41,134 @@
     want->at = now;
 }
 
-static FrAdapterUse *
-find_use(FrEngine *engine, uint32_t model, uint32_t adapter)
+static FrSlot *
+find_slot(FrEngine *engine, uint32_t model, uint32_t adapter)
 {
-    for (int i = 0; i < engine->use_count; i++) {
-        if (engine->uses[i].model == model &&
-            engine->uses[i].adapter == adapter) {
-            return &engine->uses[i];
+    for (int i = 0; i < engine->slot_count; i++) {
+        if (engine->slots[i].model == model &&
+            engine->slots[i].adapter == adapter) {
+            return &engine->slots[i];
         }
     }
     return NULL;
 }
 
+static FrSlot *
+add_slot(FrEngine *engine, uint32_t model, uint32_t adapter)
+{
+    FrSlot *slot = find_slot(engine, model, adapter);
+
+    if (slot == NULL && engine->slot_count < BK_UP_MAX_ADAPTERS) {
+        slot = &engine->slots[engine->slot_count++];
+        *slot = (FrSlot){.model = model, .adapter = adapter};
+    }
+    return slot;
+}
+
 void
 FrAdapters_NoteUse(FrEngine *engine, uint32_t model, uint32_t adapter,
                    BkMs now)
 {
-    FrAdapterUse *use = find_use(engine, model, adapter);
+    FrSlot *slot = find_slot(engine, model, adapter);
 
-    if (use == NULL && engine->use_count < BK_UP_MAX_ADAPTERS) {
-        use = &engine->uses[engine->use_count++];
-        *use = (FrAdapterUse){model, adapter, 0};
+    if (slot != NULL) {
+        slot->used = now;
     }
-    if (use != NULL) {
-        use->last = now;
+}
+
+void
+FrAdapters_TakeState(FrEngine *engine)
+{
+    const BkUp *up = engine->up;
+    FrSlot before[BK_UP_MAX_ADAPTERS];
+    int count = engine->slot_count;
+
+    memcpy(before, engine->slots, sizeof(before));
+    engine->slot_count = 0;
+    for (int i = 0; i < up->adapter_count; i++) {
+        FrSlot *slot =
+            add_slot(engine, up->adapters[i].model, up->adapters[i].name);
+        for (int k = 0; slot != NULL && k < count; k++) {
+            if (before[k].model == slot->model &&
+                before[k].adapter == slot->adapter) {
+                *slot = before[k];
+            }
+        }
     }
 }
 
-static BkMs
-last_use(FrEngine *engine, const BkUpAdapter *held)
+void
+FrAdapters_DropModel(FrEngine *engine, uint32_t model)
 {
-    const FrAdapterUse *use = find_use(engine, held->model, held->name);
+    int kept = 0;
 
-    return use == NULL ? 0 : use->last;
+    for (int i = 0; i < engine->slot_count; i++) {
+        if (engine->slots[i].model != model) {
+            engine->slots[kept++] = engine->slots[i];
+        }
+    }
+    engine->slot_count = kept;
+}
+
+/* tells daemons of the adapters that have had time to arrive */
+void
+FrAdapters_TellReady(void *arg)
+{
+    FrEngine *engine = arg;
+    BkMs now = BkClock_Now();
+    BkMs next = BK_MS_NEVER;
+
+    for (int i = 0; i < engine->slot_count && engine->planner != NULL; i++) {
+        FrSlot *slot = &engine->slots[i];
+        if (slot->told) {
+            continue;
+        }
+        BkMs at = slot->ordered + ARRIVAL;
+        if (at <= now) {
+            slot->told = true;
+            FrPlanner_Announce(engine->planner, BKP_ADAPTER_HELD, engine->up,
+                               slot->model, slot->adapter);
+        }
+        else if (at < next) {
+            next = at;
+        }
+    }
+    if (next != BK_MS_NEVER) {
+        BkTimer_Start(engine->slot_timer, next - now);
+    }
 }
 
-/* forgets uses of adapters that are no longer there */
 static void
-prune_uses(FrEngine *engine)
+remove_slot(FrEngine *engine, FrSlot *slot)
 {
-    int kept = 0;
+    *slot = engine->slots[--engine->slot_count];
+}
+
+void
+FrAdapters_TakeOrder(FrEngine *engine, const FrOrder *order, bool done,
+                     BkMs now)
+{
+    FrSlot *slot;
 
-    for (int i = 0; i < engine->use_count; i++) {
-        const FrAdapterUse *use = &engine->uses[i];
-        if (BkUp_HoldsAdapter(engine->up, use->model, use->adapter)) {
-            engine->uses[kept++] = *use;
+    switch (order->kind) {
+    case BK_ORDER_LOAD:
+        slot = add_slot(engine, order->model_key, order->adapter_key);
+        if (slot != NULL) {
+            slot->ordered = done ? now - ARRIVAL : now;
+            slot->used = now;
+            slot->told = false;
+            FrAdapters_TellReady(engine);
+        }
+        break;
+    case BK_ORDER_UNLOAD:
+        slot = find_slot(engine, order->model_key, order->adapter_key);
+        if (slot != NULL && done) {
+            remove_slot(engine, slot);
         }
+        FrPlanner_Announce(engine->planner, BKP_ADAPTER_DROPPED, engine->up,
+                           order->model_key, order->adapter_key);
+        break;
     }
-    engine->use_count = kept;
 }
 
 /* the platform numbers a model's adapters from 1 */
@@ -106,24 +190,23 @@
 find_victim(FrEngine *engine, const BkSiteEngine *conf, BkMs now,
             FrOrder *order)
 {
-    const BkUpAdapter *oldest = NULL;
+    const FrSlot *oldest = NULL;
 
-    for (int i = 0; i < engine->up->adapter_count; i++) {
-        const BkUpAdapter *held = &engine->up->adapters[i];
-        if (oldest == NULL ||
-            last_use(engine, held) < last_use(engine, oldest)) {
-            oldest = held;
+    for (int i = 0; i < engine->slot_count; i++) {
+        const FrSlot *slot = &engine->slots[i];
+        if (oldest == NULL || slot->used < oldest->used) {
+            oldest = slot;
         }
     }
-    if (oldest == NULL || now - last_use(engine, oldest) < FRESH_USE) {
+    if (oldest == NULL || now - oldest->used < FRESH_USE) {
         return false;
     }
     const BkSiteModel *model = BkSite_FindModelKey(conf, oldest->model);
     *order = (FrOrder){.kind = BK_ORDER_UNLOAD,
                        .model_key = oldest->model,
-                       .adapter_key = oldest->name};
+                       .adapter_key = oldest->adapter};
     if (model == NULL ||
-        !name_adapter(model, oldest->name, order->adapter,
+        !name_adapter(model, oldest->adapter, order->adapter,
                       sizeof(order->adapter))) {
         return false;
     }
@@ -139,21 +222,29 @@
             (size_t)(engine->want_count - at) * sizeof(FrWant));
 }
 
+double
+FrAdapters_UsedMb(const FrEngine *engine, const BkSiteEngine *conf)
+{
+    double used = 0;
+
+    for (int i = 0; i < engine->slot_count; i++) {
+        const BkSiteModel *model =
+            BkSite_FindModelKey(conf, engine->slots[i].model);
+        used += model == NULL ? 0 : model->adapter_mb;
+    }
+    return used;
+}
+
 static double
 used_mb(const FrEngine *engine, const BkSiteEngine *conf)
 {
-    double used = 0;
+    double used = FrAdapters_UsedMb(engine, conf);
 
     for (int i = 0; i < engine->up->model_count; i++) {
         const BkSiteModel *model =
             BkSite_FindModelKey(conf, engine->up->models[i]);
         used += model == NULL ? 0 : model->weights_mb;
     }
-    for (int i = 0; i < engine->up->adapter_count; i++) {
-        const BkSiteModel *model =
-            BkSite_FindModelKey(conf, engine->up->adapters[i].model);
-        used += model == NULL ? 0 : model->adapter_mb;
-    }
     return used;
 }
 
@@ -184,8 +275,16 @@
             drop_want(engine, 0);
             continue;
         }
-        prune_uses(engine);
-        bool full = engine->up->adapter_count >= conf->adapter_slots ||
+        FrSlot *slot = find_slot(engine, model->key,
+                                 BkStr_Key(BkStr_FromC(want->adapter)));
+        if (slot != NULL && now - slot->ordered < JUST_ORDERED) {
+            slot->told = slot->told && now - slot->ordered < ARRIVAL;
+            drop_want(engine, 0);
+            FrAdapters_TellReady(engine);
+            continue;
+        }
+        bool full = (slot == NULL &&
+                     engine->slot_count >= conf->adapter_slots) ||
                     used_mb(engine, conf) + model->adapter_mb >
                         conf->weights_mb;
         if (full) {
@@ -200,7 +299,6 @@
         snprintf(order.model, sizeof(order.model), "%s", want->model);
         snprintf(order.adapter, sizeof(order.adapter), "%s", want->adapter);
         drop_want(engine, 0);
-        FrAdapters_NoteUse(engine, order.model_key, order.adapter_key, now);
         FrEngine_Order(engine, &order, now);
     }
 }
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -53,6 +53,7 @@
 
     planner->engines[at] = planner->engines[--planner->engine_count];
     engine->planner = NULL;
+    BkTimer_Destroy(engine->slot_timer);
     if (!engine->asked && !engine->polling) {
         BkUp_Unref(engine->up);
         free(engine);
@@ -91,6 +92,8 @@
 
     engine->planner = planner;
     engine->up = BkUp_Ref(up);
+    engine->slot_timer =
+        BkTimer_Create(planner->front->loop, FrAdapters_TellReady, engine);
     planner->engines =
         BkMem_Grow(planner->engines, (size_t)planner->engine_count + 1,
                    sizeof(FrEngine *));
@@ -156,6 +159,9 @@
                 loading != 0 ? "load" : "unload", "took_ms",
                 (json_int_t)(now - engine->change_began), "orders",
                 (json_int_t)up->orders);
+    if (engine->unloading != 0) {
+        FrAdapters_DropModel(engine, engine->unloading);
+    }
     engine->loading = 0;
     engine->unloading = 0;
     if (loading != 0) {
@@ -197,8 +203,9 @@
         return;
     }
     engine->poll_at = now + POLL_EVERY;
-    if (state.has_orders) {
-        BkUp_TakeHeld(engine->up, &state.held, state.orders, now);
+    if (state.has_orders &&
+        BkUp_TakeHeld(engine->up, &state.held, state.orders, now)) {
+        FrAdapters_TakeState(engine);
         engine->planner->front->fleet.changes++;
     }
     if (!engine->known && !state.busy) {
@@ -258,26 +265,18 @@
     engine->poll_at = engine->change_ends + POLL_FIRST;
 }
 
+/* done: it is so already; counted: the engine counts it as an order */
 static void
-take_adapter_done(FrEngine *engine, const FrOrder *order)
-{
-    FrPlanner_Announce(engine->planner,
-                       order->kind == BK_ORDER_LOAD ? BKP_ADAPTER_HELD
-                                                    : BKP_ADAPTER_DROPPED,
-                       engine->up, order->model_key, order->adapter_key);
-}
-
-static void
-take_accepted(FrEngine *engine, const FrOrder *order, bool carried_out,
+take_accepted(FrEngine *engine, const FrOrder *order, bool done, bool counted,
               BkMs now)
 {
-    if (carried_out) {
+    if (counted) {
         engine->up->orders = order->expected + 1;
     }
     if (order->adapter[0] != '\0') {
-        take_adapter_done(engine, order);
+        FrAdapters_TakeOrder(engine, order, done, now);
     }
-    else if (carried_out) {
+    else if (!done) {
         begin_change(engine, order, now);
     }
     else if (order->kind == BK_ORDER_LOAD) {
@@ -305,11 +304,16 @@
     engine->doubt = false;
     switch (result) {
     case BK_ORDER_ACCEPTED:
-        take_accepted(engine, &order, true, now);
+        take_accepted(engine, &order, false, true, now);
+        if (order.kind == BK_ORDER_UNLOAD && order.adapter[0] != '\0') {
+            /* it is in use, and keeps its slot until the engine says */
+            engine->known = false;
+            engine->poll_at = now + POLL_FIRST;
+        }
         break;
     case BK_ORDER_HOLDS:
         /* taking away an adapter that nobody uses is done at once */
-        take_accepted(engine, &order,
+        take_accepted(engine, &order, true,
                       order.kind == BK_ORDER_UNLOAD && order.adapter[0] != '\0',
                       now);
         break;
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -158,11 +158,7 @@
     memcpy(out->held, up->models, sizeof(up->models));
     memcpy(out->in_memory, up->in_memory, sizeof(up->in_memory));
     memcpy(out->on_disk, up->on_disk, sizeof(up->on_disk));
-    for (int i = 0; i < up->adapter_count; i++) {
-        const BkSiteModel *model =
-            BkSite_FindModelKey(conf, up->adapters[i].model);
-        out->extra_mb += model == NULL ? 0 : model->adapter_mb;
-    }
+    out->extra_mb = FrAdapters_UsedMb(engine, conf);
 }
 
 /* loads that may begin now without passing the weight store's limit */
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -41,11 +41,14 @@
     BkMs at;
 } FrWant;
 
-typedef struct FrAdapterUse {
+/* An adapter that has a slot on the engine, or may have. */
+typedef struct FrSlot {
     uint32_t model;
     uint32_t adapter;
-    BkMs last;
-} FrAdapterUse;
+    BkMs ordered;  /* when it was; 0: before this term */
+    BkMs used;     /* when a request was last sent to it */
+    bool told;     /* daemons were told that it is there */
+} FrSlot;
 
 typedef struct FrEngine {
     FrPlanner *planner;
@@ -66,8 +69,9 @@
     BkMs meant_until;
     FrWant wants[FR_MAX_WANTS];
     int want_count;
-    FrAdapterUse uses[BK_UP_MAX_ADAPTERS];
-    int use_count;
+    FrSlot slots[BK_UP_MAX_ADAPTERS];
+    int slot_count;
+    BkTimer *slot_timer; /* until adapters ordered are there */
 } FrEngine;
 
 /* Demand as one daemon told it last. */
@@ -180,4 +184,18 @@
 /* Sends the next order that an adapter asked for needs, if any. */
 void FrAdapters_Step(FrEngine *engine, BkMs now);
 
+/* For slot_timer; arg is the engine. */
+void FrAdapters_TellReady(void *arg);
+
+/* The engine itself told which adapters it holds, see up->adapters. */
+void FrAdapters_TakeState(FrEngine *engine);
+
+/* The engine has accepted the order; done: it is carried out. */
+void FrAdapters_TakeOrder(FrEngine *engine, const FrOrder *order, bool done,
+                          BkMs now);
+void FrAdapters_DropModel(FrEngine *engine, uint32_t model);
+
+/* Megabytes that adapters take there. */
+double FrAdapters_UsedMb(const FrEngine *engine, const BkSiteEngine *conf);
+
 #endif
