planner: know what engines hold from their own word; stops take nothing late

LIMIT: a model closed to requests was missing from the planner's count while the engine still held it, after an unload that was refused or taken over. LOST: requests came on kept connections seven seconds after SIGTERM.

--- a/include/bk/front/conf.h
+++ b/include/bk/front/conf.h
@@ -20,6 +20,7 @@
     char *seeds;        /* addresses of some VMs, by commas */
     char *store;        /* "ip:port" of the table service */
     BkMs lease;
+    bool fenced;      /* engines refuse orders with an old fencing number */
     BkMs fence_slack; /* orders count again so long after a freeze */
     double load_overshoot;
     BkMs load_window;
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -48,6 +48,7 @@
 	u_quad_t term;
 	int plans;
 	int stopping;
+	int store;
 	struct {
 		u_int loads_len;
 		bkp_load *loads_val;
--- a/src/front/adapters.c
+++ b/src/front/adapters.c
@@ -240,9 +240,9 @@
 {
     double used = FrAdapters_UsedMb(engine, conf);
 
-    for (int i = 0; i < engine->up->model_count; i++) {
+    for (int i = 0; i < engine->held_count; i++) {
         const BkSiteModel *model =
-            BkSite_FindModelKey(conf, engine->up->models[i]);
+            BkSite_FindModelKey(conf, engine->held[i]);
         used += model == NULL ? 0 : model->weights_mb;
     }
     return used;
--- a/src/front/caller.c
+++ b/src/front/caller.c
@@ -19,6 +19,9 @@
     BACKLOG = 1024,
     ACCEPTS_PER_WAKE = 64,
     RESERVED_FDS = 300,          /* of the process's, for upstreams and files */
+    RETRY_START = 1500,          /* ms; Retry-After of a daemon that knows
+                                    nothing yet */
+    RETRY_STOP = 50,             /* ms; another daemon takes it at once */
     DEAD_AFTER = 4000            /* ms that sent bytes stay unconfirmed */
 };
 
@@ -143,6 +146,8 @@
 {
     caller->relay = NULL;
     caller->since = BkClock_Now();
+    /* an answer that began before the stop did not tell of the close */
+    caller->close_after = caller->close_after || caller->front->stopping;
     if (caller->front->site != NULL) {
         /* a shorter limit binds from the next answer on */
         caller->idle_limit =
@@ -246,12 +251,12 @@
 
 /* a request that cannot be read; nothing behind it can be either */
 static void
-reject(FrCaller *caller, int code, const char *why)
+reject(FrCaller *caller, int code, const char *why, BkMs retry_after)
 {
     caller->close_after = true;
     BkLog_Event(BK_LOG_INFO, "caller", NULL, "rejected", "s:i, s:s", "code",
                 code, "why", why);
-    FrCaller_ReplyOwn(caller, code, why, 0);
+    FrCaller_ReplyOwn(caller, code, why, retry_after);
 }
 
 static void
@@ -303,11 +308,15 @@
     caller->http10 = head->minor == 0;
     caller->close_after = !head->keep_alive;
     if (front->site == NULL) {
-        reject(caller, 503, "no configuration is known yet");
+        reject(caller, 503, "no configuration is known yet", RETRY_START);
+        return false;
+    }
+    if (FrFront_IsClosing(front)) {
+        reject(caller, 503, "the daemon is stopping", RETRY_STOP);
         return false;
     }
     if (head->length > (int64_t)front->site->max_body) {
-        reject(caller, 413, "the body is over the limit");
+        reject(caller, 413, "the body is over the limit", 0);
         return false;
     }
     if (BkH1_SameName(expect, BK_STR("100-continue")) &&
@@ -323,11 +332,11 @@
 {
     switch (BkH1Parser_Fault(caller->parser)) {
     case BK_H1_HEAD_TOO_LARGE:
-        reject(caller, 431, "the header fields are over the limit");
+        reject(caller, 431, "the header fields are over the limit", 0);
         break;
     case BK_H1_MALFORMED:
     case BK_H1_NO_FAULT:
-        reject(caller, 400, "the request is malformed");
+        reject(caller, 400, "the request is malformed", 0);
         break;
     }
 }
@@ -339,7 +348,7 @@
 
     caller->parser = NULL;
     if (caller->body.len > caller->front->site->max_body) {
-        reject(caller, 413, "the body is over the limit");
+        reject(caller, 413, "the body is over the limit", 0);
     }
     else {
         FrRelay_Start(caller, BkH1Parser_Head(parser));
@@ -529,7 +538,7 @@
         }
         if (age >= limit) {
             end_parsing(caller);
-            reject(caller, 408, "the request did not come in time");
+            reject(caller, 408, "the request did not come in time", 0);
         }
     }
     else if (is_idle(caller) && age >= caller->idle_limit) {
--- a/src/front/conf.c
+++ b/src/front/conf.c
@@ -33,6 +33,8 @@
          "address of the platform's table service"),
     SPEC("planner", "lease", BK_SET_MS, lease, "3s", 200, 600000,
          "term of the planner's lease"),
+    SPEC("planner", "fenced", BK_SET_BOOL, fenced, "no", 0, 0,
+         "whether engines check fencing numbers"),
     SPEC("planner", "fence_slack", BK_SET_MS, fence_slack, "300ms", 0, 60000,
          "how long an order may be under way when its sender freezes"),
     SPEC("planner", "load_window", BK_SET_MS, load_window, "5s", 100, 600000,
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -148,38 +148,80 @@
            engine->loading == 0 && engine->unloading == 0;
 }
 
+static bool
+holds(const FrEngine *engine, uint32_t model)
+{
+    for (int i = 0; i < engine->held_count; i++) {
+        if (engine->held[i] == model) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+take_held(FrEngine *engine, const BkUpReport *held)
+{
+    engine->held_count = 0;
+    for (int i = 0; i < held->model_count; i++) {
+        if (engine->held_count < BK_UP_MAX_MODELS) {
+            engine->held[engine->held_count++] =
+                BkStr_Key(BkStr_FromC(held->models[i].name));
+        }
+    }
+}
+
+/* requests may go to the model again, or at last */
+static void
+open_model(FrEngine *engine, uint32_t model)
+{
+    FrPlanner_Announce(engine->planner, BKP_MODEL_HELD, engine->up, model, 0);
+}
+
 static void
 end_change(FrEngine *engine, BkMs now)
 {
-    BkUp *up = engine->up;
-    uint32_t loading = engine->loading;
+    const BkUp *up = engine->up;
+    uint32_t model = engine->loading != 0 ? engine->loading : engine->unloading;
 
     BkLog_Event(BK_LOG_INFO, "planner", NULL, "change done",
-                "s:s, s:s, s:I, s:I", "upstream", up->id, "kind",
-                loading != 0 ? "load" : "unload", "took_ms",
+                "s:s, s:s, s:b, s:I, s:I", "upstream", up->id, "kind",
+                engine->loading != 0 ? "load" : "unload", "holds",
+                holds(engine, model), "took_ms",
                 (json_int_t)(now - engine->change_began), "orders",
                 (json_int_t)up->orders);
-    if (engine->unloading != 0) {
-        FrAdapters_DropModel(engine, engine->unloading);
-    }
     engine->loading = 0;
     engine->unloading = 0;
-    if (loading != 0) {
-        FrPlanner_Announce(engine->planner, BKP_MODEL_HELD, up, loading, 0);
+    if (holds(engine, model)) {
+        open_model(engine, model);
+    }
+    else {
+        FrAdapters_DropModel(engine, model);
     }
 }
 
-/* what the engine or its report says ends what was under way */
+/* the engine told its state: what was under way may be over */
 static void
 check_change(FrEngine *engine, bool busy, BkMs now)
 {
-    const BkUp *up = engine->up;
+    bool old = now - engine->change_began <= 2 * STATE_LAG;
 
-    if (engine->loading != 0 && BkUp_HoldsModel(up, engine->loading)) {
+    if (engine->loading != 0 &&
+        (holds(engine, engine->loading) || (!busy && !old))) {
+        end_change(engine, now);
+    }
+    else if (engine->unloading != 0 && !busy && !old) {
         end_change(engine, now);
     }
-    else if (!busy && (engine->loading != 0 || engine->unloading != 0) &&
-             now - engine->change_began > 2 * STATE_LAG) {
+}
+
+/* a report in the store tells of a load before the engine is asked again */
+static void
+check_report(FrEngine *engine, BkMs now)
+{
+    if (engine->loading != 0 && BkUp_HoldsModel(engine->up, engine->loading) &&
+        engine->held_count < BK_UP_MAX_MODELS) {
+        engine->held[engine->held_count++] = engine->loading;
         end_change(engine, now);
     }
 }
@@ -203,13 +245,19 @@
         return;
     }
     engine->poll_at = now + POLL_EVERY;
+    if (state.has_orders && state.orders < engine->up->orders &&
+        now - engine->order.first_at > 4 * STATE_LAG) {
+        /* it started again, and its count with it */
+        engine->up->has_orders = false;
+    }
     if (state.has_orders &&
         BkUp_TakeHeld(engine->up, &state.held, state.orders, now)) {
         FrAdapters_TakeState(engine);
+        take_held(engine, &state.held);
         engine->planner->front->fleet.changes++;
     }
-    if (!engine->known && !state.busy) {
-        engine->known = true;
+    if (engine->loading == 0 && engine->unloading == 0) {
+        engine->known = !state.busy; /* busy with what is not known here */
     }
     if (engine->doubt && !state.busy && state.has_orders &&
         state.orders > engine->order.expected) {
@@ -279,9 +327,9 @@
     else if (!done) {
         begin_change(engine, order, now);
     }
-    else if (order->kind == BK_ORDER_LOAD) {
-        FrPlanner_Announce(engine->planner, BKP_MODEL_HELD, engine->up,
-                           order->model_key, 0);
+    else {
+        engine->known = false; /* it knows better what it holds */
+        engine->poll_at = now;
     }
 }
 
@@ -319,6 +367,9 @@
         break;
     case BK_ORDER_BUSY:
     case BK_ORDER_STRANGER:
+        if (order.kind == BK_ORDER_UNLOAD && order.adapter[0] == '\0') {
+            open_model(engine, order.model_key);
+        }
         engine->known = false;
         engine->poll_at = now + STATE_LAG;
         break;
@@ -431,9 +482,7 @@
         send_order(engine, now);
         return;
     }
-    if (engine->loading != 0) {
-        check_change(engine, true, now);
-    }
+    check_report(engine, now);
     bool look = !engine->known || engine->loading != 0 ||
                 engine->unloading != 0;
     if (look && !engine->polling && now >= engine->poll_at) {
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -71,6 +71,12 @@
     return !front->stopping && front->site != NULL && front->fleet.known;
 }
 
+bool
+FrFront_IsClosing(const FrFront *front)
+{
+    return front->stopping && BkClock_Now() - front->stop_at >= STOP_ACCEPT;
+}
+
 static void
 sweep_links(FrFront *front, BkMs now)
 {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -99,6 +99,9 @@
 /* Whether new connections should come here. */
 bool FrFront_IsReady(const FrFront *front);
 
+/* At a planned stop, once new requests could no longer be finished. */
+bool FrFront_IsClosing(const FrFront *front);
+
 /* Frees dead objects once no callback is running. */
 void FrFront_ReapSoon(FrFront *front);
 
@@ -290,6 +293,9 @@
 FrSync *FrSync_Create(FrFront *front);
 void FrSync_Destroy(FrSync *sync);
 
+/* Whether the store failed this daemon's last call. */
+bool FrSync_IsIll(const FrSync *sync);
+
 /* Another daemon knows the configuration of this version, and changes of
  * reports up to that version of the store. */
 void FrSync_TakeNews(FrSync *sync, uint64_t site, uint64_t reports, BkMs now);
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -92,6 +92,17 @@
     return peer->heard != BK_MS_NEVER && now - peer->heard < HEARD_LATELY;
 }
 
+bool
+FrPeers_AnySeesStore(const FrPeers *peers, BkMs now)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (peers->list[i]->store && heard_lately(peers->list[i], now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 int
 FrPeers_Count(const FrPeers *peers)
 {
@@ -165,7 +176,8 @@
         .reports = front->fleet.version,
         .term = FrPlanner_Term(front->planner),
         .plans = FrPlanner_IsActive(front->planner, BkClock_Now()),
-        .stopping = front->stopping};
+        .stopping = front->stopping,
+        .store = !FrSync_IsIll(front->sync)};
     fill_loads(front, news, parts->loads);
     fill_leaving(front, news, parts->leaving);
     fill_members(peers, news, parts->members);
@@ -308,6 +320,7 @@
     peer->born = news->born;
     peer->heard = now;
     peer->stopping = news->stopping != 0;
+    peer->store = news->store != 0;
     take_loads(peers, peer, news);
     take_leaving(front, news, now);
     take_planner(peers, news, now);
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -25,6 +25,7 @@
     uint64_t born; /* 0: not heard of yet */
     BkMs heard;    /* BK_MS_NEVER: never */
     bool stopping;
+    bool store; /* the store answers it */
     FrPeerLoad *loads;
     int load_count;
 } FrPeer;
@@ -58,6 +59,9 @@
 /* Sends a message to all that were heard of lately. */
 void FrPeers_SendAll(FrPeers *peers, int proc, const void *message);
 
+/* Whether any daemon heard of lately says that the store answers it. */
+bool FrPeers_AnySeesStore(const FrPeers *peers, BkMs now);
+
 /* Daemons known, this one included. */
 int FrPeers_Count(const FrPeers *peers);
 
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -30,10 +30,23 @@
     return planner->active ? planner->active_term : 0;
 }
 
+/* While the store answers nobody, nobody can claim the lease either. Should
+   one whom we do not hear have done so, engines refuse our older fence. */
+static bool
+goes_on_alone(const FrPlanner *planner, BkMs now)
+{
+    const FrFront *front = planner->front;
+
+    return front->conf.fenced && planner->lease.phase == BK_LEASE_HOLD &&
+           FrSync_IsIll(front->sync) &&
+           !FrPeers_AnySeesStore(front->peers, now);
+}
+
 bool
 FrPlanner_IsActive(const FrPlanner *planner, BkMs now)
 {
-    return planner->active && BkLease_Valid(&planner->lease, now);
+    return planner->active && (BkLease_Valid(&planner->lease, now) ||
+                               goes_on_alone(planner, now));
 }
 
 void
@@ -143,7 +156,7 @@
                           .open = BkUp_IsOpen(up),
                           .ordered = !FrEngine_IsFree(engine),
                           .room_mb = conf->weights_mb,
-                          .held_count = up->model_count,
+                          .held_count = engine->held_count,
                           .loading = engine->loading,
                           .unloading = engine->unloading,
                           .meant_for = engine->meant_for,
@@ -155,7 +168,7 @@
         engine->order.adapter[0] == '\0') {
         out->loading = engine->order.model_key;
     }
-    memcpy(out->held, up->models, sizeof(up->models));
+    memcpy(out->held, engine->held, sizeof(engine->held));
     memcpy(out->in_memory, up->in_memory, sizeof(up->in_memory));
     memcpy(out->on_disk, up->on_disk, sizeof(up->on_disk));
     out->extra_mb = FrAdapters_UsedMb(engine, conf);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -60,9 +60,11 @@
     bool doubt;    /* the answer was lost; the order is sent again */
     BkMs again_at;
     FrOrder order; /* of asked and doubt */
+    uint32_t held[BK_UP_MAX_MODELS]; /* as the engine told, whether or not
+                                        requests still go there */
+    int held_count;
     uint32_t loading;
     uint32_t unloading;
-    bool changing_store;  /* the load is one from the weight store */
     BkMs change_ends;     /* when it is expected to be done */
     BkMs change_began;
     uint32_t meant_for;   /* model that room is made for */
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -308,6 +308,12 @@
     call_again(follower, 0);
 }
 
+bool
+FrSync_IsIll(const FrSync *sync)
+{
+    return sync == NULL || sync->ill;
+}
+
 void
 FrSync_TakeNews(FrSync *sync, uint64_t site, uint64_t reports, BkMs now)
 {
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -36,6 +36,7 @@
     unsigned hyper term;          /* the planner's, if it is the planner */
     int plans;                    /* whether it is, its lease being valid */
     int stopping;
+    int store;                    /* whether the store answers it */
     bkp_load loads<BKP_MAX_LOADS>;
     bkp_leaving leaving<BKP_MAX_LEAVING>;
     bkp_member members<BKP_MAX_MEMBERS>;
