--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -52,6 +52,7 @@
     uint64_t born;
     BkUpStanding standing;
     BkMs standing_since;
+    BkMs grace; /* of a missing report, from then on */
     uint64_t row_version; /* of its report */
     bool listed;          /* found in the list that is being read */
     int slots;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -9,6 +9,8 @@
 enum {
     REPORT_GRACE = 2000, /* ms; the users' letter: lapsed entries are back
                             about two seconds after the store's return */
+    REMOVAL_GRACE = 1200, /* ms; a removal that was seen as it happened may
+                             be a departure, which binds within two seconds */
     FORGET_AFTER = 30000 /* ms that a gone upstream's id is remembered */
 };
 
@@ -347,11 +349,12 @@
 }
 
 static void
-lose_report(BkFleet *fleet, BkUp *up, BkMs now)
+lose_report(BkFleet *fleet, BkUp *up, BkMs grace, BkMs now)
 {
     bool ill = now < fleet->store_ill_until;
 
     if (up->standing == BK_UP_LISTED && ill) {
+        up->grace = grace;
         set_standing(fleet, up, BK_UP_MISSING, now,
                      "its report lapsed around an outage of the store");
     }
@@ -369,7 +372,7 @@
         return;
     }
     up->row_version = version;
-    lose_report(fleet, up, now);
+    lose_report(fleet, up, REMOVAL_GRACE, now);
 }
 
 void
@@ -387,7 +390,7 @@
         BkUp *up = fleet->ups[i];
         if (!up->listed && up->row_version < version) {
             up->row_version = version;
-            lose_report(fleet, up, now);
+            lose_report(fleet, up, REPORT_GRACE, now);
         }
     }
     fleet->known = true;
@@ -397,11 +400,6 @@
 BkFleet_NoteStoreIll(BkFleet *fleet, BkMs now)
 {
     fleet->store_ill_until = now + REPORT_GRACE;
-    for (int i = 0; i < fleet->count; i++) {
-        if (fleet->ups[i]->standing == BK_UP_MISSING) {
-            fleet->ups[i]->standing_since = now;
-        }
-    }
 }
 
 void
@@ -424,7 +422,7 @@
     for (int i = fleet->count - 1; i >= 0; i--) {
         BkUp *up = fleet->ups[i];
         BkMs since = now - up->standing_since;
-        if (up->standing == BK_UP_MISSING && since >= REPORT_GRACE) {
+        if (up->standing == BK_UP_MISSING && since >= up->grace) {
             set_standing(fleet, up, BK_UP_GONE, now,
                          "no report after the store's return");
         }
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -223,6 +223,7 @@
 
     FrLink *link;
     BkUp *up; /* of the present attempt */
+    char last_up[FR_REQUEST_ID_BYTES]; /* id, of the last attempt */
     BkMs sent_at;
     bool unread; /* its prompt counts as not read there */
     int sends;
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -74,13 +74,20 @@
     BkMs now = BkClock_Now();
 
     BkLog_Event(BK_LOG_INFO, "relay", relay->id, "answered",
-                "s:s, s:s, s:s?, s:s?, s:i, s:s, s:i, s:i, s:I, s:I, s:I",
+                "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, "
+                "s:I, s:I, s:I",
                 "route", relay->route, "service", relay->service, "model",
                 relay->model, "adapter", relay->adapter, "code", code, "why",
-                relay->why, "sends", relay->sends, "runs", relay->runs,
+                relay->why, "upstream", relay->last_up, "sends", relay->sends,
+                "runs", relay->runs, "sent_ms",
+                (json_int_t)(relay->sends > 0 ? relay->sent_at - relay->started
+                                              : -1),
                 "first_ms",
                 (json_int_t)(relay->first_sent ? relay->first_at - relay->started
                                                : -1),
+                "last_ms",
+                (json_int_t)(relay->first_sent ? relay->last_at - relay->started
+                                               : -1),
                 "took_ms", (json_int_t)(now - relay->started), "config",
                 (json_int_t)(relay->front->site == NULL
                                  ? 0
@@ -236,6 +243,7 @@
         return true;
     }
     relay->up = BkUp_Ref(up);
+    snprintf(relay->last_up, sizeof(relay->last_up), "%s", up->id);
     up->own_running++;
     up->own_prompt += relay->query.prompt;
     relay->unread = true;
