wait: refuse at once what has no prospect, and say when to come back

The planner now tells when a model is expected, a takeover knows the loads that the planner before began, and the lease's rows travel with the news, so that a takeover does not wait twice.

--- a/include/bk/lease/lease.h
+++ b/include/bk/lease/lease.h
@@ -76,6 +76,11 @@
 /* Gossip told that the planner of term was alive at this time. */
 void BkLease_Heard(BkLease *lease, uint64_t term, BkMs at);
 
+/* Gossip told the versions of the rows of this term, as its holder wrote
+ * them: a later read then shows whether they changed since. */
+void BkLease_HeardRows(BkLease *lease, uint64_t term, uint64_t term_version,
+                       uint64_t beat_version);
+
 void BkLease_TookRead(BkLease *lease, const BkLeaseRows *rows, BkMs now);
 void BkLease_Claimed(BkLease *lease, uint64_t term_version,
                      uint64_t beat_version);
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -20,6 +20,7 @@
 #define BKP_MAX_DEMANDS 160
 #define BKP_MAX_USES 64
 #define BKP_MAX_CHANGES 32
+#define BKP_MAX_BEGUN 64
 
 struct bkp_load {
 	u_int up;
@@ -47,6 +48,12 @@
 	u_quad_t reports;
 	u_quad_t term;
 	int plans;
+	u_quad_t term_version;
+	u_quad_t beat_version;
+	struct {
+		u_int begun_len;
+		u_int *begun_val;
+	} begun;
 	int stopping;
 	int store;
 	struct {
@@ -105,6 +112,7 @@
 	BKP_MODEL_CLOSING = 1,
 	BKP_ADAPTER_HELD = 2,
 	BKP_ADAPTER_DROPPED = 3,
+	BKP_MODEL_COMING = 4,
 };
 typedef enum bkp_change_kind bkp_change_kind;
 
@@ -114,6 +122,7 @@
 	u_quad_t orders;
 	u_int model;
 	u_int adapter;
+	u_int eta;
 };
 typedef struct bkp_change bkp_change;
 
--- /dev/null
+++ b/include/bk/wait/wait.h
@@ -0,0 +1,49 @@
+/*
+ * wait - how long a request waits for an upstream, and when it is refused
+ *
+ * Pure. A request that found no upstream waits only as long as there is a
+ * prospect that it is served before its caller turns away. One without that
+ * prospect is refused at once, and told when to come back: when the model is
+ * expected to be loaded, or spread over a short time when engines are full,
+ * so that those who were refused together do not return together.
+ */
+#ifndef BK_WAIT_WAIT_H
+#define BK_WAIT_WAIT_H
+
+#include <stdbool.h>
+
+#include "bk/base/clock.h"
+
+typedef enum BkWaitCause {
+    BK_WAIT_FULL,    /* those that could serve it are full */
+    BK_WAIT_ADAPTER, /* its adapter is on its way */
+    BK_WAIT_MODEL    /* no engine holds its model */
+} BkWaitCause;
+
+typedef struct BkWaitConf {
+    BkMs margin;      /* what an engine takes to a first token, at best */
+    BkMs decide;      /* the planner's time to decide on a load */
+    BkMs no_planner;  /* until there is a planner again, as a rule */
+    BkMs full_return; /* Retry-After when engines are full, and as much more
+                         at random */
+    double return_share; /* of the time left that callers wait at most */
+} BkWaitConf;
+
+typedef struct BkWaitCase {
+    BkWaitCause cause;
+    BkMs waited;   /* so far */
+    BkMs patience; /* from the start, that the caller waits for a first byte */
+    BkMs left;     /* until its deadline */
+    BkMs ready_in; /* until its model is expected; -1: not known */
+    bool planner;  /* there is one */
+    double draw;   /* uniform in [0, 1), for the spread */
+} BkWaitCase;
+
+typedef struct BkWaitVerdict {
+    bool refuse;
+    BkMs retry_after;
+} BkWaitVerdict;
+
+BkWaitVerdict BkWait_Judge(const BkWaitConf *conf, const BkWaitCase *wait);
+
+#endif
--- /dev/null
+++ b/src/front/coming.c
@@ -0,0 +1,53 @@
+#include "front.h"
+
+enum {
+    LATE = 1500 /* ms after the time told that nothing is expected any more */
+};
+
+/* the row of the model, or one that is not used any more; NULL if none */
+static FrComing *
+find_row(FrFront *front, uint32_t model)
+{
+    BkMs now = BkClock_Now();
+    FrComing *spare = NULL;
+
+    for (int i = 0; i < front->coming_count; i++) {
+        FrComing *row = &front->coming[i];
+        if (row->model == model) {
+            return row;
+        }
+        if (now > row->at + LATE) {
+            spare = row;
+        }
+    }
+    if (spare == NULL && front->coming_count < FR_MAX_COMING) {
+        spare = &front->coming[front->coming_count++];
+    }
+    if (spare != NULL) {
+        *spare = (FrComing){.model = model};
+    }
+    return spare;
+}
+
+void
+FrComing_Note(FrFront *front, uint32_t model, BkMs at)
+{
+    FrComing *row = find_row(front, model);
+    BkMs now = BkClock_Now();
+
+    if (row != NULL && (row->at < now || at < row->at)) {
+        row->at = at;
+    }
+}
+
+BkMs
+FrComing_In(const FrFront *front, uint32_t model, BkMs now)
+{
+    for (int i = 0; i < front->coming_count; i++) {
+        const FrComing *row = &front->coming[i];
+        if (row->model == model && now <= row->at + LATE) {
+            return row->at > now ? row->at - now : 0;
+        }
+    }
+    return -1;
+}
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -142,6 +142,7 @@
     switch (reply->status) {
     case BK_OK:
         if (now < lease->sent_at + lease->conf.hold) {
+            lease->beat_version = reply->version;
             BkLease_Renewed(lease);
         }
         else {
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -310,6 +310,10 @@
         break;
     }
     engine->change_ends = now + span;
+    if (order->kind == BK_ORDER_LOAD) {
+        FrPlanner_AnnounceComing(engine->planner, engine->up,
+                                 order->model_key, span);
+    }
     engine->poll_at = engine->change_ends + POLL_FIRST;
 }
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -35,7 +35,8 @@
 
 enum {
     FR_REQUEST_ID_BYTES = 128,
-    FR_MAX_SERVICES = 64 /* with a retry budget of their own */
+    FR_MAX_SERVICES = 64, /* with a retry budget of their own */
+    FR_MAX_COMING = 64    /* models that are being loaded */
 };
 
 typedef struct FrServiceBudget {
@@ -43,6 +44,12 @@
     BkBudget budget;
 } FrServiceBudget;
 
+/* A model that is expected somewhere. */
+typedef struct FrComing {
+    uint32_t model;
+    BkMs at;
+} FrComing;
+
 /* Counters of the metrics address. */
 typedef struct FrMetrics {
     BkCounter *callers;  /* open connections */
@@ -71,6 +78,8 @@
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
     int budget_count;
+    FrComing coming[FR_MAX_COMING];
+    int coming_count;
 
     int listen_fd;
     BkWatch *listen_watch;
@@ -214,6 +223,7 @@
     int priority;
     int attempts; /* runs that the route allows */
     BkMs target;
+    BkMs patience; /* from the start, until the caller gives the request up */
     BkMs started;
     BkMs until; /* the caller's deadline or the route's, the nearer one */
     BkTimer *timer;
@@ -290,6 +300,12 @@
 /* Tries those that wait, in their order; arg is the front. */
 void FrQueue_Look(void *arg);
 
+/* coming.c: when models that nobody holds are expected */
+void FrComing_Note(FrFront *front, uint32_t model, BkMs at);
+
+/* From now; -1 if nothing is known. */
+BkMs FrComing_In(const FrFront *front, uint32_t model, BkMs now);
+
 /* sync.c */
 FrSync *FrSync_Create(FrFront *front);
 void FrSync_Destroy(FrSync *sync);
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -14,6 +14,7 @@
     QUIET_EVERY = 10,    /* rounds, when there is no load to tell */
     LOADS_STALE = 2000,  /* ms of silence until a peer's loads are dropped */
     HEARD_LATELY = 5000, /* ms */
+    PLANNER_SILENT = 700, /* ms; it speaks every round */
     UNHEARD_EVERY = 10   /* rounds between words to one that is silent */
 };
 
@@ -92,6 +93,14 @@
     return peer->heard != BK_MS_NEVER && now - peer->heard < HEARD_LATELY;
 }
 
+bool
+FrPeers_HasPlanner(const FrPeers *peers, BkMs now)
+{
+    return FrPlanner_IsActive(peers->front->planner, now) ||
+           (peers->planner[0] != '\0' &&
+            now - peers->planner_heard < PLANNER_SILENT);
+}
+
 bool
 FrPeers_AnySeesStore(const FrPeers *peers, BkMs now)
 {
@@ -159,6 +168,7 @@
 }
 
 typedef struct NewsParts {
+    u_int begun[BKP_MAX_BEGUN];
     bkp_load loads[BKP_MAX_LOADS];
     bkp_leaving leaving[BKP_MAX_LEAVING];
     bkp_member members[BKP_MAX_MEMBERS];
@@ -174,10 +184,9 @@
         .born = front->born,
         .site = front->site == NULL ? 0 : front->site->version,
         .reports = front->fleet.version,
-        .term = FrPlanner_Term(front->planner),
-        .plans = FrPlanner_IsActive(front->planner, BkClock_Now()),
         .stopping = front->stopping,
         .store = !FrSync_IsIll(front->sync)};
+    FrPlanner_FillNews(front->planner, news, parts->begun);
     fill_loads(front, news, parts->loads);
     fill_leaving(front, news, parts->leaving);
     fill_members(peers, news, parts->members);
@@ -297,7 +306,7 @@
         BkLog_Event(BK_LOG_NOTICE, "peers", NULL, "planner", "s:s, s:I",
                     "name", news->name, "term", (json_int_t)news->term);
     }
-    FrPlanner_Heard(peers->front->planner, news->term, now);
+    FrPlanner_Heard(peers->front->planner, news, now);
 }
 
 static void
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -59,6 +59,9 @@
 /* Sends a message to all that were heard of lately. */
 void FrPeers_SendAll(FrPeers *peers, int proc, const void *message);
 
+/* Whether there is a planner: this daemon, or one that was heard lately. */
+bool FrPeers_HasPlanner(const FrPeers *peers, BkMs now);
+
 /* Whether any daemon heard of lately says that the store answers it. */
 bool FrPeers_AnySeesStore(const FrPeers *peers, BkMs now);
 
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -14,6 +14,9 @@
     APPEARING = 1500,     /* ms since the last engine appeared: others still
                              may, with models that seem missing */
     MEANT_FOR = 4000,     /* ms that room made for a model is kept for it */
+    UNLOAD_TIME = 1000,   /* ms that an unload takes, as a rule */
+    STORE_UNHEARD = 2,    /* loads that an earlier planner may have begun
+                             after it was heard last */
     STORE_MARGIN = 2      /* loads of the three that the weight store allows
                              beyond its rate in a window */
 };
@@ -24,12 +27,6 @@
     .gain = 2.0,
     .idle = 50};
 
-uint64_t
-FrPlanner_Term(const FrPlanner *planner)
-{
-    return planner->active ? planner->active_term : 0;
-}
-
 /* While the store answers nobody, nobody can claim the lease either. Should
    one whom we do not hear have done so, engines refuse our older fence. */
 static bool
@@ -49,10 +46,50 @@
                                goes_on_alone(planner, now));
 }
 
+static void
+note_store_load(FrPlanner *planner, BkMs now)
+{
+    if (planner->store_load_count < FR_MAX_RECENT_LOADS) {
+        planner->store_loads[planner->store_load_count++] = now;
+    }
+}
+
 void
-FrPlanner_Heard(FrPlanner *planner, uint64_t term, BkMs now)
+FrPlanner_FillNews(FrPlanner *planner, bkp_news *news, u_int *begun)
 {
-    BkLease_Heard(&planner->lease, term, now);
+    BkMs now = BkClock_Now();
+
+    news->plans = FrPlanner_IsActive(planner, now);
+    if (!news->plans) {
+        return;
+    }
+    news->term = planner->active_term;
+    news->term_version = planner->lease.term_version;
+    news->beat_version = planner->lease.beat_version;
+    for (int i = 0; i < planner->store_load_count; i++) {
+        BkMs age = now - planner->store_loads[i];
+        if (age < planner->front->conf.load_window &&
+            news->begun.begun_len < BKP_MAX_BEGUN) {
+            begun[news->begun.begun_len++] = (u_int)age;
+        }
+    }
+    news->begun.begun_val = begun;
+}
+
+void
+FrPlanner_Heard(FrPlanner *planner, const bkp_news *news, BkMs now)
+{
+    BkLease_Heard(&planner->lease, news->term, now);
+    BkLease_HeardRows(&planner->lease, news->term, news->term_version,
+                      news->beat_version);
+    if (planner->active) {
+        return;
+    }
+    planner->heard_at = now;
+    planner->store_load_count = 0;
+    for (u_int i = 0; i < news->begun.begun_len; i++) {
+        note_store_load(planner, now - news->begun.begun_val[i]);
+    }
 }
 
 void
@@ -85,21 +122,41 @@
         case BKP_ADAPTER_DROPPED:
             BkUp_SetAdapter(up, row->model, row->adapter, false);
             break;
+        case BKP_MODEL_COMING:
+            FrComing_Note(front, row->model, now + row->eta);
+            break;
         }
     }
     front->fleet.changes++;
     FrQueue_WakeSoon(front, 0);
 }
 
+static void
+announce(FrPlanner *planner, bkp_change *row)
+{
+    bkp_changes changes = {planner->active_term, {1, row}};
+
+    FrPlanner_ApplyChanges(planner->front, &changes);
+    FrPeers_SendAll(planner->front->peers, BKP_CHANGES, &changes);
+}
+
 void
 FrPlanner_Announce(FrPlanner *planner, bkp_change_kind kind, const BkUp *up,
                    uint32_t model, uint32_t adapter)
 {
-    bkp_change row = {kind, up->key, up->orders, model, adapter};
-    bkp_changes changes = {planner->active_term, {1, &row}};
+    bkp_change row = {kind, up->key, up->orders, model, adapter, 0};
 
-    FrPlanner_ApplyChanges(planner->front, &changes);
-    FrPeers_SendAll(planner->front->peers, BKP_CHANGES, &changes);
+    announce(planner, &row);
+}
+
+void
+FrPlanner_AnnounceComing(FrPlanner *planner, const BkUp *up, uint32_t model,
+                         BkMs eta)
+{
+    bkp_change row = {BKP_MODEL_COMING, up->key,     up->orders, model,
+                      0,                (u_int)eta};
+
+    announce(planner, &row);
 }
 
 void
@@ -191,14 +248,6 @@
     return (int)most + STORE_MARGIN - recent;
 }
 
-static void
-note_store_load(FrPlanner *planner, BkMs now)
-{
-    if (planner->store_load_count < FR_MAX_RECENT_LOADS) {
-        planner->store_loads[planner->store_load_count++] = now;
-    }
-}
-
 static void
 make_move(FrPlanner *planner, FrEngine *engine, const BkSiteEngine *conf,
           const BkPlanMove *move, BkMs now)
@@ -216,6 +265,9 @@
     if (move->kind == BK_PLAN_UNLOAD) {
         engine->meant_for = conf->models[move->meant_for].key;
         engine->meant_until = now + MEANT_FOR;
+        FrPlanner_AnnounceComing(planner, engine->up, engine->meant_for,
+                                 UNLOAD_TIME +
+                                     conf->models[move->meant_for].load_store);
     }
     if (move->from_store) {
         note_store_load(planner, now);
@@ -288,12 +340,19 @@
     }
 }
 
+/* The planner before was heard until a moment ago, and may have begun a few
+   loads more; if it was never heard, all that the limit allows. */
 static void
 fill_store_window(FrPlanner *planner, BkMs now)
 {
     const BkSite *site = planner->front->site;
 
-    planner->store_load_count = 0;
+    if (planner->heard_at != BK_MS_NEVER) {
+        for (int i = 0; i < STORE_UNHEARD; i++) {
+            note_store_load(planner, planner->heard_at);
+        }
+        return;
+    }
     for (int i = 0; site != NULL && i < site->service_count; i++) {
         const BkSiteEngine *conf = site->services[i].engine;
         int room = conf == NULL ? 0 : count_store_room(planner, conf, now);
@@ -312,7 +371,6 @@
     planner->worked_at = now;
     FrEngines_Forget(planner);
     if (planner->active_term > 1) {
-        /* what the planner before began in the window is not known */
         fill_store_window(planner, now);
     }
     BkLog_Event(BK_LOG_NOTICE, "planner", NULL, "term begins", "s:I", "term",
@@ -371,6 +429,7 @@
     FrPlanner *planner = BkMem_New(1, sizeof(*planner));
 
     planner->front = front;
+    planner->heard_at = BK_MS_NEVER;
     planner->orders = BkCounter_Get("bk_front_orders_total", NULL,
                                     "orders sent to engines");
     planner->loads = BkCounter_Get("bk_front_loads_total", NULL,
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -110,8 +110,11 @@
     int work_count;
     BkMs worked_at;
     BkMs planned_at;
-    BkMs store_loads[FR_MAX_RECENT_LOADS]; /* begun, the latest ones */
+    /* loads from the weight store that were begun lately, also by an earlier
+       planner that was heard */
+    BkMs store_loads[FR_MAX_RECENT_LOADS];
     int store_load_count;
+    BkMs heard_at; /* another planner; BK_MS_NEVER: none in this life */
     /* this daemon's own demand, told to the planner */
     bkp_demand own[BKP_MAX_DEMANDS];
     u_int own_count;
@@ -128,13 +131,14 @@
 /* At a planned stop: gives the lease up. */
 void FrPlanner_Leave(FrPlanner *planner);
 
-uint64_t FrPlanner_Term(const FrPlanner *planner);
+/* What the planner tells of itself; begun has room for BKP_MAX_BEGUN. */
+void FrPlanner_FillNews(FrPlanner *planner, bkp_news *news, u_int *begun);
 
 /* Whether this daemon may give orders now. */
 bool FrPlanner_IsActive(const FrPlanner *planner, BkMs now);
 
-/* The planner of this term was heard. */
-void FrPlanner_Heard(FrPlanner *planner, uint64_t term, BkMs now);
+/* The planner was heard, with what FrPlanner_FillNews says. */
+void FrPlanner_Heard(FrPlanner *planner, const bkp_news *news, BkMs now);
 
 /* A request was made of a model, with an adapter at up or without. */
 void FrPlanner_NoteRequest(FrPlanner *planner, uint32_t model,
@@ -156,6 +160,10 @@
 void FrPlanner_Announce(FrPlanner *planner, bkp_change_kind kind,
                         const BkUp *up, uint32_t model, uint32_t adapter);
 
+/* Tells that a model is expected to be ready there after eta. */
+void FrPlanner_AnnounceComing(FrPlanner *planner, const BkUp *up,
+                              uint32_t model, BkMs eta);
+
 /* election.c */
 void FrElection_Init(FrPlanner *planner);
 void FrElection_Step(FrPlanner *planner, BkMs now);
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -1,3 +1,5 @@
+#include "bk/wait/wait.h"
+#include "peers.h"
 #include "planner.h"
 
 #include <stdio.h>
@@ -10,6 +12,10 @@
 enum {
     ANSWER_HELD = 64 * 1024, /* bytes of an answer kept before it is passed
                                 on, so that a cut one can be replaced */
+    STREAM_GAP = 2000,       /* ms; the platform's callers turn away from a
+                                stream after the longest of this... */
+    GAP_TARGETS = 4,         /* ...so many times the objective... */
+    GAP_PAUSES = 8,          /* ...and so many times the pause allowed */
     OUTPUT_WEIGHT = 4,       /* tokens of a prompt that one of an answer is
                                 worth of an engine's time, in a batch */
     BEFORE_DEADLINE = 15,    /* ms; an answer at the deadline is too late */
@@ -277,6 +283,42 @@
     }
 }
 
+static const BkWaitConf wait_conf = {.margin = 60,
+                                     .decide = 1200,
+                                     .no_planner = 3000,
+                                     .full_return = 400,
+                                     .return_share = 0.33};
+
+/* true if it was refused */
+static bool
+wait_or_refuse(FrRelay *relay, BkWaitCause cause, BkMs now)
+{
+    static const char *const whys[] = {"those that could serve it are full",
+                                       "its adapter is not at hand",
+                                       "no engine holds its model"};
+    FrFront *front = relay->front;
+    BkWaitCase wait = {.cause = cause,
+                       .waited = now - relay->started,
+                       .patience = relay->patience,
+                       .left = relay->until - now,
+                       .ready_in = FrComing_In(front, relay->query.model, now),
+                       .planner = FrPeers_HasPlanner(front->peers, now),
+                       .draw = BkRng_Unit(&front->rng)};
+    BkWaitVerdict verdict = BkWait_Judge(&wait_conf, &wait);
+
+    if (!verdict.refuse) {
+        FrQueue_Add(relay);
+        return false;
+    }
+    if (relay->runs > 0) {
+        FrRelay_Refuse(relay, 502, whys[cause], 0);
+    }
+    else {
+        FrRelay_Refuse(relay, 503, whys[cause], verdict.retry_after);
+    }
+    return true;
+}
+
 bool
 FrRelay_Dispatch(FrRelay *relay)
 {
@@ -305,12 +347,11 @@
             relay->wished_at = now;
             FrPlanner_Wish(front, choice.up, relay->model, relay->adapter);
         }
-        FrQueue_Add(relay);
-        return false;
+        return wait_or_refuse(relay, BK_WAIT_ADAPTER, now);
     case BK_PICK_FULL:
+        return wait_or_refuse(relay, BK_WAIT_FULL, now);
     case BK_PICK_NOT_HELD:
-        FrQueue_Add(relay);
-        return false;
+        return wait_or_refuse(relay, BK_WAIT_MODEL, now);
     case BK_PICK_NOBODY:
         if (relay->query.tried_count > 0) {
             give_up(relay, "every upstream was tried");
@@ -697,6 +738,24 @@
     }
 }
 
+/* callers of streams turn away after a gap, also before the first event */
+static BkMs
+find_patience(const FrRelay *relay, const BkSiteRoute *route, BkMs wait)
+{
+    BkMs patience = STREAM_GAP;
+
+    if (relay->kind != BK_ROUTE_STREAM) {
+        return wait;
+    }
+    if (route->target * GAP_TARGETS > patience) {
+        patience = route->target * GAP_TARGETS;
+    }
+    if (route->gap * GAP_PAUSES > patience) {
+        patience = route->gap * GAP_PAUSES;
+    }
+    return patience < wait ? patience : wait;
+}
+
 static FrRelay *
 create_relay(FrCaller *caller, const BkSiteRoute *route,
              const BkCallerSays *says)
@@ -718,6 +777,7 @@
         wait = says->deadline - BEFORE_DEADLINE;
     }
     relay->until = relay->started + wait;
+    relay->patience = find_patience(relay, route, wait);
     relay->has_event = false;
     relay->why = "in progress";
     relay->length = -1;
--- a/src/lease/lease.c
+++ b/src/lease/lease.c
@@ -72,6 +72,18 @@
     }
 }
 
+void
+BkLease_HeardRows(BkLease *lease, uint64_t term, uint64_t term_version,
+                  uint64_t beat_version)
+{
+    if (lease->phase == BK_LEASE_HOLD || lease->claim_due ||
+        term < lease->term || beat_version < lease->beat_version) {
+        return;
+    }
+    lease->term_version = term_version;
+    lease->beat_version = beat_version;
+}
+
 static bool
 is_mine(const BkLease *lease, const BkLeaseRows *rows)
 {
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -48,79 +48,6 @@
 {
 	register int32_t *buf;
 
-
-	if (xdrs->x_op == XDR_ENCODE) {
-		 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->born))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->site))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->reports))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->term))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->plans))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->stopping))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->store))
-				 return FALSE;
-
-		} else {
-		IXDR_PUT_LONG(buf, objp->plans);
-		IXDR_PUT_LONG(buf, objp->stopping);
-		IXDR_PUT_LONG(buf, objp->store);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, BKP_MAX_LOADS,
-			sizeof (bkp_load), (xdrproc_t) xdr_bkp_load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, BKP_MAX_LEAVING,
-			sizeof (bkp_leaving), (xdrproc_t) xdr_bkp_leaving))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, BKP_MAX_MEMBERS,
-			sizeof (bkp_member), (xdrproc_t) xdr_bkp_member))
-			 return FALSE;
-		return TRUE;
-	} else if (xdrs->x_op == XDR_DECODE) {
-		 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->born))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->site))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->reports))
-			 return FALSE;
-		 if (!xdr_u_quad_t (xdrs, &objp->term))
-			 return FALSE;
-		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
-		if (buf == NULL) {
-			 if (!xdr_int (xdrs, &objp->plans))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->stopping))
-				 return FALSE;
-			 if (!xdr_int (xdrs, &objp->store))
-				 return FALSE;
-
-		} else {
-		objp->plans = IXDR_GET_LONG(buf);
-		objp->stopping = IXDR_GET_LONG(buf);
-		objp->store = IXDR_GET_LONG(buf);
-		}
-		 if (!xdr_array (xdrs, (char **)&objp->loads.loads_val, (u_int *) &objp->loads.loads_len, BKP_MAX_LOADS,
-			sizeof (bkp_load), (xdrproc_t) xdr_bkp_load))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->leaving.leaving_val, (u_int *) &objp->leaving.leaving_len, BKP_MAX_LEAVING,
-			sizeof (bkp_leaving), (xdrproc_t) xdr_bkp_leaving))
-			 return FALSE;
-		 if (!xdr_array (xdrs, (char **)&objp->members.members_val, (u_int *) &objp->members.members_len, BKP_MAX_MEMBERS,
-			sizeof (bkp_member), (xdrproc_t) xdr_bkp_member))
-			 return FALSE;
-	 return TRUE;
-	}
-
 	 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->born))
@@ -133,6 +60,13 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->plans))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->term_version))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->beat_version))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->begun.begun_val, (u_int *) &objp->begun.begun_len, BKP_MAX_BEGUN,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->stopping))
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->store))
@@ -236,6 +170,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->adapter))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->eta))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -10,6 +10,7 @@
 const BKP_MAX_DEMANDS = 160;
 const BKP_MAX_USES = 64;
 const BKP_MAX_CHANGES = 32;
+const BKP_MAX_BEGUN = 64;
 
 struct bkp_load {
     unsigned int up;
@@ -35,6 +36,10 @@
     unsigned hyper reports;       /* newest version of the reports' table */
     unsigned hyper term;          /* the planner's, if it is the planner */
     int plans;                    /* whether it is, its lease being valid */
+    unsigned hyper term_version;  /* of the lease's rows, as it wrote them */
+    unsigned hyper beat_version;
+    unsigned int begun<BKP_MAX_BEGUN>; /* ages in ms of loads from the weight
+                                     store that it began lately */
     int stopping;
     int store;                    /* whether the store answers it */
     bkp_load loads<BKP_MAX_LOADS>;
@@ -74,7 +79,8 @@
     BKP_MODEL_HELD = 0,
     BKP_MODEL_CLOSING = 1,        /* no new requests: it is unloaded */
     BKP_ADAPTER_HELD = 2,
-    BKP_ADAPTER_DROPPED = 3
+    BKP_ADAPTER_DROPPED = 3,
+    BKP_MODEL_COMING = 4          /* ready there after the time in eta */
 };
 
 struct bkp_change {
@@ -83,6 +89,7 @@
     unsigned hyper orders;        /* that the upstream had accepted then */
     unsigned int model;
     unsigned int adapter;
+    unsigned int eta;             /* ms */
 };
 
 /* what the planner has done, for all */
--- /dev/null
+++ b/src/wait/wait.c
@@ -0,0 +1,51 @@
+#include "bk/wait/wait.h"
+
+/* until an upstream is expected for it; -1: soon, nobody knows when */
+static BkMs
+expect(const BkWaitConf *conf, const BkWaitCase *wait)
+{
+    switch (wait->cause) {
+    case BK_WAIT_FULL:
+        return -1;
+    case BK_WAIT_ADAPTER:
+        return wait->planner ? -1 : conf->no_planner;
+    case BK_WAIT_MODEL:
+        if (wait->ready_in >= 0) {
+            return wait->ready_in;
+        }
+        if (!wait->planner) {
+            return conf->no_planner;
+        }
+        /* once the planner had time to decide, it has nothing to offer */
+        return wait->waited < conf->decide ? -1 : conf->no_planner;
+    }
+    return -1;
+}
+
+static BkMs
+return_in(const BkWaitConf *conf, const BkWaitCase *wait, BkMs expected)
+{
+    BkMs spread = (BkMs)(wait->draw * (double)conf->full_return);
+    BkMs most = (BkMs)((double)wait->left * conf->return_share);
+    BkMs after =
+        (expected < 0 ? conf->full_return : expected + conf->margin) + spread;
+
+    return after < most ? after : most;
+}
+
+BkWaitVerdict
+BkWait_Judge(const BkWaitConf *conf, const BkWaitCase *wait)
+{
+    BkMs patience = wait->patience - wait->waited;
+    BkMs expected = expect(conf, wait);
+    BkMs needed = (expected < 0 ? 0 : expected) + conf->margin;
+
+    if (wait->left < patience) {
+        patience = wait->left;
+    }
+    if (needed <= patience) {
+        return (BkWaitVerdict){.refuse = false};
+    }
+    return (BkWaitVerdict){.refuse = true,
+                           .retry_after = return_in(conf, wait, expected)};
+}
