--- a/include/bk/budget/budget.h
+++ b/include/bk/budget/budget.h
@@ -18,11 +18,15 @@
     BK_BUDGET_SLICES = 20 /* of a window */
 };
 
+/* The part of both limits that is used; the rest is for what a daemon forgot
+ * when it started again, and for the edges of windows. */
+#define BK_BUDGET_SHARE 0.85
+
 typedef struct BkBudgetConf {
     double ratio;
     double slack; /* of all daemons */
     BkMs window;
-    double share; /* of both that is used; the rest is a margin */
+    double share; /* of both that is used, such as BK_BUDGET_SHARE */
 } BkBudgetConf;
 
 /* The repeats and requests of one service. */
--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -52,13 +52,13 @@
     uint64_t born;
     BkUpStanding standing;
     BkMs standing_since;
-    BkMs grace; /* of a missing report, from then on */
+    BkMs grace;           /* of a missing report, from then on */
     uint64_t row_version; /* of its report */
     bool listed;          /* found in the list that is being read */
     int slots;
     BkMs cold_until;
-    bool has_orders; /* it was asked, see BkUp_TakeHeld */
-    uint64_t orders; /* accepted since its start */
+    bool has_orders;                   /* it was asked, see BkUp_TakeHeld */
+    uint64_t orders;                   /* accepted since its start */
     uint32_t models[BK_UP_MAX_MODELS]; /* keys of names */
     int model_count;
     uint32_t closing;   /* model that is about to be unloaded; 0: none */
@@ -90,9 +90,9 @@
     BkUp **ups; /* sorted by id */
     int count;
     int cap;
-    uint64_t version;   /* newest of the store that is taken in */
-    uint64_t changes;   /* rises when anything that routing uses changes */
-    bool known;         /* a whole list was read once */
+    uint64_t version;     /* newest of the store that is taken in */
+    uint64_t changes;     /* rises when anything that routing uses changes */
+    bool known;           /* a whole list was read once */
     BkMs store_ill_until; /* outage, and the grace after it */
 } BkFleet;
 
--- a/include/bk/fleet/report.h
+++ b/include/bk/fleet/report.h
@@ -27,9 +27,9 @@
     char *domain; /* failure domain */
     int slots;
     bool draining;
-    BkMs leaves_in;     /* until it is taken away; BK_MS_NEVER: not told */
-    BkMs cold_for;      /* slow after its start for so long */
-    uint64_t born;      /* start, in ms since 1970; 0: not told */
+    BkMs leaves_in; /* until it is taken away; BK_MS_NEVER: not told */
+    BkMs cold_for;  /* slow after its start for so long */
+    uint64_t born;  /* start, in ms since 1970; 0: not told */
     BkHeldModel *models;
     int model_count;
     char **in_memory; /* weights at hand in memory */
--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -24,12 +24,12 @@
 
 /* What a caller says of its request, in header fields. */
 typedef struct BkCallerSays {
-    BkStr id;        /* of the request; empty: none */
-    BkMs deadline;   /* from now; 0: none given */
-    BkStr model;     /* empty: none asked for */
-    BkStr adapter;   /* of the model; empty: none */
-    int64_t prompt;  /* tokens of the prompt; 0: not told */
-    int64_t output;  /* tokens at most */
+    BkStr id;       /* of the request; empty: none */
+    BkMs deadline;  /* from now; 0: none given */
+    BkStr model;    /* empty: none asked for */
+    BkStr adapter;  /* of the model; empty: none */
+    int64_t prompt; /* tokens of the prompt; 0: not told */
+    int64_t output; /* tokens at most */
     BkPromptPart parts[BK_CALLER_MAX_PARTS]; /* of the prompt, in order */
     int part_count;
     bool resumes;        /* goes on with a stream... */
@@ -38,10 +38,10 @@
 
 /* What the daemon adds for the upstream. */
 typedef struct BkUpstreamHint {
-    BkMs deadline;     /* from now */
-    const char *id;    /* only this upstream may run it */
-    int urgency;       /* 0 (first) to 9; -1: not told */
-    bool resumes;      /* goes on behind last_event, in place of what the */
+    BkMs deadline;       /* from now */
+    const char *id;      /* only this upstream may run it */
+    int urgency;         /* 0 (first) to 9; -1: not told */
+    bool resumes;        /* goes on behind last_event, in place of what the */
     uint64_t last_event; /* caller asked for */
 } BkUpstreamHint;
 
--- a/include/bk/front/conf.h
+++ b/include/bk/front/conf.h
@@ -27,7 +27,7 @@
     double retry_ratio;
     int64_t retry_slack;
     BkMs retry_window;
-    BkMs grace;     /* from SIGTERM to SIGKILL */
+    BkMs grace;        /* from SIGTERM to SIGKILL */
     int64_t log_lines; /* a second, of severity info and below */
     int64_t descriptors;
     /* routing */
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -20,31 +20,31 @@
 };
 
 typedef struct BkPickConf {
-    int64_t window;     /* tokens of unread prompts on one engine */
-    int64_t per_run;    /* a running request counts as so many tokens */
-    int64_t affinity;   /* tokens more to do that a shared part is worth */
-    int64_t far;        /* tokens that another failure domain costs */
-    double full;        /* of a plain service's slots: over this it waits */
+    int64_t window;   /* tokens of unread prompts on one engine */
+    int64_t per_run;  /* a running request counts as so many tokens */
+    int64_t affinity; /* tokens more to do that a shared part is worth */
+    int64_t far;      /* tokens that another failure domain costs */
+    double full;      /* of a plain service's slots: over this it waits */
 } BkPickConf;
 
 typedef struct BkPickQuery {
-    const BkSiteEngine *engine; /* NULL: a plain service */
-    uint32_t service;           /* keys, see BkStr_Key */
-    uint32_t model;             /* 0: none asked for */
-    uint32_t adapter;           /* 0: none */
-    int64_t prompt;             /* tokens */
-    uint64_t shared;            /* hash of the shared parts; 0: none */
-    const char *domain;         /* of this daemon */
+    const BkSiteEngine *engine;        /* NULL: a plain service */
+    uint32_t service;                  /* keys, see BkStr_Key */
+    uint32_t model;                    /* 0: none asked for */
+    uint32_t adapter;                  /* 0: none */
+    int64_t prompt;                    /* tokens */
+    uint64_t shared;                   /* hash of the shared parts; 0: none */
+    const char *domain;                /* of this daemon */
     uint32_t tried[BK_PICK_MAX_TRIED]; /* keys of upstreams */
     int tried_count;
 } BkPickQuery;
 
 typedef enum BkPickVerdict {
     BK_PICK_SEND,
-    BK_PICK_ADAPTER, /* up holds the model but not yet the adapter */
-    BK_PICK_FULL,    /* those that could serve it are full */
+    BK_PICK_ADAPTER,  /* up holds the model but not yet the adapter */
+    BK_PICK_FULL,     /* those that could serve it are full */
     BK_PICK_NOT_HELD, /* upstreams are there, none holds the model */
-    BK_PICK_NOBODY   /* no upstream of the service is usable */
+    BK_PICK_NOBODY    /* no upstream of the service is usable */
 } BkPickVerdict;
 
 typedef struct BkPickChoice {
--- a/include/bk/plan/plan.h
+++ b/include/bk/plan/plan.h
@@ -34,14 +34,14 @@
     BkMs load_store; /* time to load it, by where its weights are */
     BkMs load_disk;
     BkMs load_memory;
-    double work;     /* tokens a second that are asked of it */
-    int waiting;     /* requests that wait since no engine holds it */
+    double work; /* tokens a second that are asked of it */
+    int waiting; /* requests that wait since no engine holds it */
 } BkPlanModel;
 
 typedef struct BkPlanEngine {
     uint32_t key;
-    bool open;    /* may hold models for callers */
-    bool ordered; /* an order is under way or in doubt: it gets no other */
+    bool open;       /* may hold models for callers */
+    bool ordered;    /* an order is under way or in doubt: it gets no other */
     double room_mb;  /* for weights, adapters included */
     double extra_mb; /* taken by adapters */
     uint32_t held[BK_UP_MAX_MODELS];
--- a/include/bk/site/site.h
+++ b/include/bk/site/site.h
@@ -31,12 +31,12 @@
     char *host;   /* lower case */
     char *prefix; /* of the path; begins and ends with a slash */
     BkRouteKind kind;
-    BkMs timeout;  /* a caller waits no longer for its whole answer */
-    BkMs target;   /* answered, or first event, within it: full worth */
-    BkMs gap;      /* longest pause between events for full worth; 0: none */
-    int attempts;  /* upstreams on which one request may run */
-    int priority;  /* 0 is the most urgent */
-    bool sticky;   /* prompts share parts */
+    BkMs timeout; /* a caller waits no longer for its whole answer */
+    BkMs target;  /* answered, or first event, within it: full worth */
+    BkMs gap;     /* longest pause between events for full worth; 0: none */
+    int attempts; /* upstreams on which one request may run */
+    int priority; /* 0 is the most urgent */
+    bool sticky;  /* prompts share parts */
     bool resumable;
     BkSiteSplit *splits; /* one at least */
     int split_count;
@@ -70,7 +70,7 @@
 typedef struct BkSiteService {
     char *name;
     char *health_path;
-    int max_connections; /* of one upstream, from all daemons together */
+    int max_connections;  /* of one upstream, from all daemons together */
     BkSiteEngine *engine; /* NULL: a plain service */
 } BkSiteService;
 
--- a/include/bk/wait/wait.h
+++ b/include/bk/wait/wait.h
@@ -21,10 +21,10 @@
 } BkWaitCause;
 
 typedef struct BkWaitConf {
-    BkMs margin;      /* what an engine takes to a first token, at best */
-    BkMs decide;      /* the planner's time to decide on a load */
-    BkMs no_planner;  /* until there is a planner again, as a rule */
-    BkMs full_return; /* Retry-After when engines are full, and as much more
+    BkMs margin;         /* what an engine takes to a first token, at best */
+    BkMs decide;         /* the planner's time to decide on a load */
+    BkMs no_planner;     /* until there is a planner again, as a rule */
+    BkMs full_return;    /* Retry-After when engines are full, and as much more
                          at random */
     double return_share; /* of the time left that callers wait at most */
 } BkWaitConf;
--- a/src/base/log_sink.c
+++ b/src/base/log_sink.c
@@ -52,8 +52,8 @@
         return true;
     }
     double most = sink.per_second * (double)BURST_SECONDS;
-    sink.tokens += (double)(now - sink.filled_at) * sink.per_second /
-                   (double)BK_MS_PER_S;
+    sink.tokens +=
+        (double)(now - sink.filled_at) * sink.per_second / (double)BK_MS_PER_S;
     sink.tokens = sink.tokens > most ? most : sink.tokens;
     sink.filled_at = now;
     if (sink.tokens < 1) {
--- a/src/base/loop.c
+++ b/src/base/loop.c
@@ -64,9 +64,8 @@
 
     apr_initialize();
     apr_pool_create(&loop->pool, NULL);
-    apr_status_t rv =
-        apr_pollset_create(&loop->pollset, EVENTS_PER_ROUND, loop->pool,
-                           APR_POLLSET_NOCOPY);
+    apr_status_t rv = apr_pollset_create(&loop->pollset, EVENTS_PER_ROUND,
+                                         loop->pool, APR_POLLSET_NOCOPY);
     if (rv != APR_SUCCESS) {
         abort();
     }
@@ -132,11 +131,8 @@
     else {
         loop->spare = watch->next;
     }
-    *watch = (BkWatch){.loop = loop,
-                       .socket = watch->socket,
-                       .fd = fd,
-                       .fn = fn,
-                       .arg = arg};
+    *watch = (BkWatch){
+        .loop = loop, .socket = watch->socket, .fd = fd, .fn = fn, .arg = arg};
     apr_os_sock_put(&watch->socket, &fd, loop->pool);
     BkWatch_Modify(watch, events);
     return watch;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -7,11 +7,11 @@
 #include "bk/base/log.h"
 
 enum {
-    REPORT_GRACE = 2000, /* ms; the users' letter: lapsed entries are back
+    REPORT_GRACE = 2000,  /* ms; the users' letter: lapsed entries are back
                             about two seconds after the store's return */
     REMOVAL_GRACE = 1200, /* ms; a removal that was seen as it happened may
                              be a departure, which binds within two seconds */
-    FORGET_AFTER = 30000 /* ms that a gone upstream's id is remembered */
+    FORGET_AFTER = 30000  /* ms that a gone upstream's id is remembered */
 };
 
 void
@@ -148,10 +148,10 @@
     if (up->standing == standing) {
         return;
     }
-    BkLog_Event(BK_LOG_INFO, "fleet", NULL, "upstream", "s:s, s:s, s:s, s:s, s:I",
-                "id", up->id, "was", names[up->standing], "is",
-                names[standing], "why", why, "version",
-                (json_int_t)up->row_version);
+    BkLog_Event(BK_LOG_INFO, "fleet", NULL, "upstream",
+                "s:s, s:s, s:s, s:s, s:I", "id", up->id, "was",
+                names[up->standing], "is", names[standing], "why", why,
+                "version", (json_int_t)up->row_version);
     up->standing = standing;
     up->standing_since = now;
     fleet->changes++;
@@ -454,7 +454,8 @@
 BkUp_HoldsAdapter(const BkUp *up, uint32_t model, uint32_t adapter)
 {
     for (int i = 0; i < up->adapter_count; i++) {
-        if (up->adapters[i].model == model && up->adapters[i].name == adapter) {
+        if (up->adapters[i].model == model &&
+            up->adapters[i].name == adapter) {
             return true;
         }
     }
@@ -495,7 +496,8 @@
 BkUp_SetAdapter(BkUp *up, uint32_t model, uint32_t adapter, bool held)
 {
     for (int i = 0; i < up->adapter_count; i++) {
-        if (up->adapters[i].model == model && up->adapters[i].name == adapter) {
+        if (up->adapters[i].model == model &&
+            up->adapters[i].name == adapter) {
             if (!held) {
                 up->adapters[i] = up->adapters[--up->adapter_count];
             }
@@ -503,7 +505,6 @@
         }
     }
     if (held && up->adapter_count < BK_UP_MAX_ADAPTERS) {
-        up->adapters[up->adapter_count++] =
-            (BkUpAdapter){model, adapter};
+        up->adapters[up->adapter_count++] = (BkUpAdapter){model, adapter};
     }
 }
--- a/src/front/adapters.c
+++ b/src/front/adapters.c
@@ -205,9 +205,8 @@
     *order = (FrOrder){.kind = BK_ORDER_UNLOAD,
                        .model_key = oldest->model,
                        .adapter_key = oldest->adapter};
-    if (model == NULL ||
-        !name_adapter(model, oldest->adapter, order->adapter,
-                      sizeof(order->adapter))) {
+    if (model == NULL || !name_adapter(model, oldest->adapter, order->adapter,
+                                       sizeof(order->adapter))) {
         return false;
     }
     snprintf(order->model, sizeof(order->model), "%s", model->name);
@@ -241,8 +240,7 @@
     double used = FrAdapters_UsedMb(engine, conf);
 
     for (int i = 0; i < engine->held_count; i++) {
-        const BkSiteModel *model =
-            BkSite_FindModelKey(conf, engine->held[i]);
+        const BkSiteModel *model = BkSite_FindModelKey(conf, engine->held[i]);
         used += model == NULL ? 0 : model->weights_mb;
     }
     return used;
@@ -283,19 +281,19 @@
             FrAdapters_TellReady(engine);
             continue;
         }
-        bool full = (slot == NULL &&
-                     engine->slot_count >= conf->adapter_slots) ||
-                    used_mb(engine, conf) + model->adapter_mb >
-                        conf->weights_mb;
+        bool full =
+            (slot == NULL && engine->slot_count >= conf->adapter_slots) ||
+            used_mb(engine, conf) + model->adapter_mb > conf->weights_mb;
         if (full) {
             if (find_victim(engine, conf, now, &order)) {
                 FrEngine_Order(engine, &order, now);
             }
             return;
         }
-        order = (FrOrder){.kind = BK_ORDER_LOAD,
-                          .model_key = model->key,
-                          .adapter_key = BkStr_Key(BkStr_FromC(want->adapter))};
+        order =
+            (FrOrder){.kind = BK_ORDER_LOAD,
+                      .model_key = model->key,
+                      .adapter_key = BkStr_Key(BkStr_FromC(want->adapter))};
         snprintf(order.model, sizeof(order.model), "%s", want->model);
         snprintf(order.adapter, sizeof(order.adapter), "%s", want->adapter);
         drop_want(engine, 0);
--- a/src/front/caller.c
+++ b/src/front/caller.c
@@ -11,18 +11,18 @@
 #include "socket.h"
 
 enum {
-    READ_BYTES = 16 * 1024,      /* taken from a socket at once */
-    READ_AHEAD = 64 * 1024,      /* bytes kept behind the present request */
-    OUT_HIGH = 64 * 1024,        /* bytes; the upstream is paused above */
-    LINGER = 1000,               /* ms that a closing caller is waited for */
-    BODY_TIMEOUT = 30000,        /* ms for the body of a request */
+    READ_BYTES = 16 * 1024, /* taken from a socket at once */
+    READ_AHEAD = 64 * 1024, /* bytes kept behind the present request */
+    OUT_HIGH = 64 * 1024,   /* bytes; the upstream is paused above */
+    LINGER = 1000,          /* ms that a closing caller is waited for */
+    BODY_TIMEOUT = 30000,   /* ms for the body of a request */
     BACKLOG = 1024,
     ACCEPTS_PER_WAKE = 64,
-    RESERVED_FDS = 300,          /* of the process's, for upstreams and files */
-    RETRY_START = 1500,          /* ms; Retry-After of a daemon that knows
+    RESERVED_FDS = 300, /* of the process's, for upstreams and files */
+    RETRY_START = 1500, /* ms; Retry-After of a daemon that knows
                                     nothing yet */
-    RETRY_STOP = 50,             /* ms; another daemon takes it at once */
-    DEAD_AFTER = 4000            /* ms that sent bytes stay unconfirmed */
+    RETRY_STOP = 50,    /* ms; another daemon takes it at once */
+    DEAD_AFTER = 4000   /* ms that sent bytes stay unconfirmed */
 };
 
 /* Callers use a connection that was idle for up to four fifths of the
@@ -282,8 +282,8 @@
 static void
 begin_request(FrCaller *caller)
 {
-    caller->parser = BkH1Parser_Create(
-        BK_H1_REQUEST, max_head(caller->front), take_body, caller);
+    caller->parser = BkH1Parser_Create(BK_H1_REQUEST, max_head(caller->front),
+                                       take_body, caller);
     caller->since = BkClock_Now();
     caller->head_checked = false;
     caller->chunked = false;
@@ -386,7 +386,8 @@
 process_input(FrCaller *caller, BkStr data)
 {
     while (data.len > 0 && !caller->dead && caller->relay == NULL &&
-           !caller->lingering && !(caller->close_after && caller->out.len > 0)) {
+           !caller->lingering &&
+           !(caller->close_after && caller->out.len > 0)) {
         size_t n = parse_some(caller, data);
         data.ptr += n;
         data.len -= n;
--- a/src/front/demand.c
+++ b/src/front/demand.c
@@ -211,8 +211,8 @@
 
     for (int i = 0; i < planner->source_count; i++) {
         const FrSource *source = &planner->sources[i];
-        for (u_int k = 0;
-             k < source->count && now - source->at < SOURCE_STALE; k++) {
+        for (u_int k = 0; k < source->count && now - source->at < SOURCE_STALE;
+             k++) {
             if (source->rows[k].model == model) {
                 waiting += (int)source->rows[k].waiting;
             }
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -76,9 +76,9 @@
 static char *
 encode_beat(const FrPlanner *planner, uint64_t term, bool released)
 {
-    json_t *root = json_pack("{s:I, s:I, s:b}", "term", (json_int_t)term,
-                             "beat", (json_int_t)planner->beat, "released",
-                             released);
+    json_t *root =
+        json_pack("{s:I, s:I, s:b}", "term", (json_int_t)term, "beat",
+                  (json_int_t)planner->beat, "released", released);
     char *text = json_dumps(root, JSON_COMPACT);
 
     json_decref(root);
@@ -109,9 +109,9 @@
 {
     const BkLease *lease = &planner->lease;
     uint64_t next = lease->term + 1;
-    json_t *root = json_pack("{s:I, s:s, s:I}", "term", (json_int_t)next,
-                             "holder", lease->me, "epoch",
-                             (json_int_t)lease->epoch);
+    json_t *root =
+        json_pack("{s:I, s:s, s:I}", "term", (json_int_t)next, "holder",
+                  lease->me, "epoch", (json_int_t)lease->epoch);
     char *term = json_dumps(root, JSON_COMPACT);
     char *beat = encode_beat(planner, next, false);
     BkStoreWrite writes[] = {{.key = "term",
@@ -198,8 +198,8 @@
     }
     switch (BkLease_Next(&planner->lease, now)) {
     case BK_LEASE_READ:
-        BkStore_Read(planner->front->store, table, NULL, CALL_LIMIT,
-                     take_rows, planner);
+        BkStore_Read(planner->front->store, table, NULL, CALL_LIMIT, take_rows,
+                     planner);
         break;
     case BK_LEASE_CLAIM:
         claim(planner);
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -12,13 +12,13 @@
    however late the other one arrives. */
 
 enum {
-    ORDER_LIMIT = 400,   /* ms for an engine's answer */
-    AGAIN_AFTER = 150,   /* ms before an order in doubt is sent again */
-    MOST_TRIES = 12,     /* of an order in doubt; then its state decides */
-    POLL_EVERY = 250,    /* ms between looks at an engine that changes */
-    POLL_FIRST = 60,     /* ms after the time that a change should take */
-    POLL_FAILED = 500,   /* ms after a look that failed */
-    STATE_LAG = 300,     /* ms that an engine's word about itself is old */
+    ORDER_LIMIT = 400, /* ms for an engine's answer */
+    AGAIN_AFTER = 150, /* ms before an order in doubt is sent again */
+    MOST_TRIES = 12,   /* of an order in doubt; then its state decides */
+    POLL_EVERY = 250,  /* ms between looks at an engine that changes */
+    POLL_FIRST = 60,   /* ms after the time that a change should take */
+    POLL_FAILED = 500, /* ms after a look that failed */
+    STATE_LAG = 300,   /* ms that an engine's word about itself is old */
     STATE_MAX = 64 * 1024,
     URL_BYTES = 160,
     FIELD_BYTES = 200
@@ -182,7 +182,8 @@
 end_change(FrEngine *engine, BkMs now)
 {
     const BkUp *up = engine->up;
-    uint32_t model = engine->loading != 0 ? engine->loading : engine->unloading;
+    uint32_t model =
+        engine->loading != 0 ? engine->loading : engine->unloading;
 
     BkLog_Event(BK_LOG_INFO, "planner", NULL, "change done",
                 "s:s, s:s, s:b, s:I, s:I", "upstream", up->id, "kind",
@@ -301,7 +302,7 @@
     case BK_ORDER_LOAD:
         engine->loading = order->model_key;
         engine->meant_for = 0;
-        span = model == NULL      ? 0
+        span = model == NULL       ? 0
                : order->from_store ? model->load_store
                                    : model->load_disk;
         break;
@@ -311,8 +312,8 @@
     }
     engine->change_ends = now + span;
     if (order->kind == BK_ORDER_LOAD) {
-        FrPlanner_AnnounceComing(engine->planner, engine->up,
-                                 order->model_key, span);
+        FrPlanner_AnnounceComing(engine->planner, engine->up, order->model_key,
+                                 span);
     }
     engine->poll_at = engine->change_ends + POLL_FIRST;
 }
@@ -365,9 +366,9 @@
         break;
     case BK_ORDER_HOLDS:
         /* taking away an adapter that nobody uses is done at once */
-        take_accepted(engine, &order, true,
-                      order.kind == BK_ORDER_UNLOAD && order.adapter[0] != '\0',
-                      now);
+        take_accepted(
+            engine, &order, true,
+            order.kind == BK_ORDER_UNLOAD && order.adapter[0] != '\0', now);
         break;
     case BK_ORDER_BUSY:
     case BK_ORDER_STRANGER:
@@ -403,8 +404,8 @@
 {
     FrEngine *engine = arg;
     BkMs now = BkClock_Now();
-    BkOrderResult result = BkAdapter_ReadOrderResult(
-        http->status == BK_OK, http->sent, http->code);
+    BkOrderResult result = BkAdapter_ReadOrderResult(http->status == BK_OK,
+                                                     http->sent, http->code);
 
     engine->asked = false;
     if (was_dropped(engine)) {
@@ -429,8 +430,8 @@
     FrOrder *order = &engine->order;
     BkOrder wire = {.kind = order->kind,
                     .model = order->model,
-                    .adapter = order->adapter[0] == '\0' ? NULL
-                                                         : order->adapter,
+                    .adapter =
+                        order->adapter[0] == '\0' ? NULL : order->adapter,
                     .has_expected = true,
                     .expected = order->expected,
                     .holder = planner->front->conf.name,
@@ -440,8 +441,8 @@
     BkBuf field = BkBuf_Make(FIELD_BYTES);
 
     BkAdapter_PutExpectedId(&field, engine->up->id);
-    const char *headers[] = {"Content-Type: application/json",
-                             BkBuf_C(&field), NULL};
+    const char *headers[] = {"Content-Type: application/json", BkBuf_C(&field),
+                             NULL};
     snprintf(url, sizeof(url), "http://%s%s", engine->up->address,
              BkAdapter_OrderPath());
     BkHttpSpec spec = {.method = "POST",
@@ -487,8 +488,8 @@
         return;
     }
     check_report(engine, now);
-    bool look = !engine->known || engine->loading != 0 ||
-                engine->unloading != 0;
+    bool look =
+        !engine->known || engine->loading != 0 || engine->unloading != 0;
     if (look && !engine->polling && now >= engine->poll_at) {
         poll_engine(engine);
     }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -7,10 +7,10 @@
 #include "bk/base/log.h"
 
 enum {
-    TICK = 200,           /* ms between sweeps */
-    STOP_ACCEPT = 3000,   /* ms after SIGTERM that new connections are taken:
+    TICK = 200,         /* ms between sweeps */
+    STOP_ACCEPT = 3000, /* ms after SIGTERM that new connections are taken:
                              the balancer asks each second, twice */
-    STOP_MARGIN = 400     /* ms before SIGKILL at which the process ends */
+    STOP_MARGIN = 400   /* ms before SIGKILL at which the process ends */
 };
 
 static void
@@ -44,8 +44,7 @@
 {
     int at = 0;
 
-    while (at < front->budget_count &&
-           front->budgets[at].service != service) {
+    while (at < front->budget_count && front->budgets[at].service != service) {
         at++;
     }
     if (at == front->budget_count) {
@@ -160,8 +159,7 @@
     front->conf_path = conf_path;
     front->listen_fd = -1;
     front->born = (uint64_t)BkClock_Wall();
-    front->rng = BkRng_Make(front->born ^
-                            BkStr_Key(BkStr_FromC(conf->name)));
+    front->rng = BkRng_Make(front->born ^ BkStr_Key(BkStr_FromC(conf->name)));
     front->metrics = FrMetrics_Get();
     front->loop = BkLoop_Create();
     front->http = BkHttpClient_Create(front->loop);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -52,8 +52,8 @@
 
 /* Counters of the metrics address. */
 typedef struct FrMetrics {
-    BkCounter *callers;  /* open connections */
-    BkCounter *waiting;  /* requests not yet with an upstream */
+    BkCounter *callers; /* open connections */
+    BkCounter *waiting; /* requests not yet with an upstream */
     BkCounter *sends;
     BkCounter *repeats;
     BkCounter *no_budget; /* repeats that the budget did not allow */
@@ -129,13 +129,13 @@
     BkBuf in;           /* read ahead, behind the present request */
     BkBuf out;
     BkBuf body;
-    FrRelay *relay;    /* of the present request */
-    BkMs since;        /* of the state: idle, or reading a request */
+    FrRelay *relay; /* of the present request */
+    BkMs since;     /* of the state: idle, or reading a request */
     bool head_checked;
     bool http10;
-    bool close_after;  /* the present answer is the last one */
-    bool chunked;      /* the present answer goes out in chunks */
-    bool lingering;    /* our side is closed; the caller's is awaited */
+    bool close_after; /* the present answer is the last one */
+    bool chunked;     /* the present answer goes out in chunks */
+    bool lingering;   /* our side is closed; the caller's is awaited */
     bool dead;
     bool blocked; /* out is over its limit */
     BkMs idle_limit;
@@ -232,7 +232,7 @@
     BkBuf body;
 
     FrLink *link;
-    BkUp *up; /* of the present attempt */
+    BkUp *up;                          /* of the present attempt */
     char last_up[FR_REQUEST_ID_BYTES]; /* id, of the last attempt */
     BkMs sent_at;
     bool unread; /* its prompt counts as not read there */
@@ -253,7 +253,7 @@
     const char *why;     /* a constant: what decided the outcome */
 
     BkMs wished_at; /* an adapter was asked for */
-    bool not_held; /* it waits since no engine holds its model */
+    bool not_held;  /* it waits since no engine holds its model */
     bool queued;
     FrRelay *queue_prev;
     FrRelay *queue_next;
--- a/src/front/link.c
+++ b/src/front/link.c
@@ -8,12 +8,12 @@
 
 enum {
     READ_BYTES = 16 * 1024,
-    MAX_HEAD = 32 * 1024,   /* bytes of an answer's head */
-    CONNECT_LIMIT = 350,    /* ms; several times the longest round trip, and
+    MAX_HEAD = 32 * 1024, /* bytes of an answer's head */
+    CONNECT_LIMIT = 350,  /* ms; several times the longest round trip, and
                                short enough for another try */
-    IDLE_LIMIT = 4000,      /* ms, where the upstream names none */
-    SKIP_LIMIT = 200,       /* ms for the rest of an answer not wanted */
-    DEAD_AFTER = 2000       /* ms that sent bytes stay unconfirmed */
+    IDLE_LIMIT = 4000,    /* ms, where the upstream names none */
+    SKIP_LIMIT = 200,     /* ms for the rest of an answer not wanted */
+    DEAD_AFTER = 2000     /* ms that sent bytes stay unconfirmed */
 };
 
 /* of the idle time that the upstream names; it counts from its own end */
@@ -155,8 +155,7 @@
 write_link(FrLink *link)
 {
     while (link->out.len > 0) {
-        ssize_t n =
-            send(link->fd, link->out.ptr, link->out.len, MSG_NOSIGNAL);
+        ssize_t n = send(link->fd, link->out.ptr, link->out.len, MSG_NOSIGNAL);
         if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
             break;
         }
@@ -440,8 +439,8 @@
     up->pool->count++;
     link->timer = BkTimer_Create(front->loop, on_link_timer, link);
     BkTimer_Start(link->timer, CONNECT_LIMIT);
-    link->watch = BkLoop_Watch(front->loop, fd, BK_LOOP_WRITE, on_link_event,
-                               link);
+    link->watch =
+        BkLoop_Watch(front->loop, fd, BK_LOOP_WRITE, on_link_event, link);
     BkCounter_Add(front->metrics.connects, 1);
     return link;
 }
--- a/src/front/main.c
+++ b/src/front/main.c
@@ -50,9 +50,10 @@
     Args args = {0};
     FrConf conf;
     struct argp argp = {
-        options, parse_option, NULL,
-        "Serves callers on the users' platform, and places models.",
-        NULL,    NULL,         NULL};
+        options, parse_option,
+        NULL,    "Serves callers on the users' platform, and places models.",
+        NULL,    NULL,
+        NULL};
 
     argp_program_version = "bk-front " BK_VERSION;
     argp_err_exit_status = BK_EUSAGE;
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -60,9 +60,8 @@
 FrMembers_Step(FrPeers *peers, BkMs now)
 {
     const FrConf *conf = &peers->front->conf;
-    BkStoreWrite row = {.key = conf->name,
-                        .put = true,
-                        .value = BkStr_FromC(conf->peers)};
+    BkStoreWrite row = {
+        .key = conf->name, .put = true, .value = BkStr_FromC(conf->peers)};
 
     if (peers->calling || now < peers->row_at || peers->front->stopping) {
         return;
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -9,13 +9,13 @@
 #include "planner.h"
 
 enum {
-    PERIOD = 100,        /* ms between rounds */
-    TOLD_A_ROUND = 7,    /* peers, so that the cost does not grow with them */
-    QUIET_EVERY = 10,    /* rounds, when there is no load to tell */
-    LOADS_STALE = 2000,  /* ms of silence until a peer's loads are dropped */
-    HEARD_LATELY = 5000, /* ms */
+    PERIOD = 100,         /* ms between rounds */
+    TOLD_A_ROUND = 7,     /* peers, so that the cost does not grow with them */
+    QUIET_EVERY = 10,     /* rounds, when there is no load to tell */
+    LOADS_STALE = 2000,   /* ms of silence until a peer's loads are dropped */
+    HEARD_LATELY = 5000,  /* ms */
     PLANNER_SILENT = 700, /* ms; it speaks every round */
-    UNHEARD_EVERY = 10   /* rounds between words to one that is silent */
+    UNHEARD_EVERY = 10    /* rounds between words to one that is silent */
 };
 
 void
@@ -68,8 +68,8 @@
     if (peer == NULL) {
         if (peers->count == peers->cap) {
             peers->cap = peers->cap == 0 ? 16 : peers->cap * 2;
-            peers->list = BkMem_Grow(peers->list, (size_t)peers->cap,
-                                     sizeof(FrPeer *));
+            peers->list =
+                BkMem_Grow(peers->list, (size_t)peers->cap, sizeof(FrPeer *));
         }
         peer = BkMem_New(1, sizeof(*peer));
         peer->heard = BK_MS_NEVER;
@@ -179,13 +179,12 @@
 {
     FrFront *front = peers->front;
 
-    *news = (bkp_news){
-        .name = front->conf.name,
-        .born = front->born,
-        .site = front->site == NULL ? 0 : front->site->version,
-        .reports = front->fleet.version,
-        .stopping = front->stopping,
-        .store = !FrSync_IsIll(front->sync)};
+    *news = (bkp_news){.name = front->conf.name,
+                       .born = front->born,
+                       .site = front->site == NULL ? 0 : front->site->version,
+                       .reports = front->fleet.version,
+                       .stopping = front->stopping,
+                       .store = !FrSync_IsIll(front->sync)};
     FrPlanner_FillNews(front->planner, news, parts->begun);
     fill_loads(front, news, parts->loads);
     fill_leaving(front, news, parts->leaving);
@@ -316,8 +315,8 @@
     FrFront *front = peers->front;
     const bkp_news *news = message;
     BkMs now = BkClock_Now();
-    FrPeer *peer = FrPeers_Add(peers, BkStr_FromC(news->name),
-                               BkStr_FromC(from));
+    FrPeer *peer =
+        FrPeers_Add(peers, BkStr_FromC(news->name), BkStr_FromC(from));
 
     if (peer == NULL || (peer->born > news->born && peer->born != 0)) {
         return; /* its own, or from before the peer's restart */
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -7,17 +7,17 @@
 #include "peers.h"
 
 enum {
-    STEP = 25,            /* ms between steps while this daemon plans */
-    STEP_IDLE = 100,      /* ms between steps else */
-    PLAN_EVERY = 100,     /* ms between decisions */
-    SETTLE = 500,         /* ms after a takeover until demand is known */
-    APPEARING = 1500,     /* ms since the last engine appeared: others still
+    STEP = 25,          /* ms between steps while this daemon plans */
+    STEP_IDLE = 100,    /* ms between steps else */
+    PLAN_EVERY = 100,   /* ms between decisions */
+    SETTLE = 500,       /* ms after a takeover until demand is known */
+    APPEARING = 1500,   /* ms since the last engine appeared: others still
                              may, with models that seem missing */
-    MEANT_FOR = 4000,     /* ms that room made for a model is kept for it */
-    UNLOAD_TIME = 1000,   /* ms that an unload takes, as a rule */
-    STORE_UNHEARD = 2,    /* loads that an earlier planner may have begun
+    MEANT_FOR = 4000,   /* ms that room made for a model is kept for it */
+    UNLOAD_TIME = 1000, /* ms that an unload takes, as a rule */
+    STORE_UNHEARD = 2,  /* loads that an earlier planner may have begun
                              after it was heard last */
-    STORE_MARGIN = 2      /* loads of the three that the weight store allows
+    STORE_MARGIN = 2    /* loads of the three that the weight store allows
                              beyond its rate in a window */
 };
 
@@ -153,8 +153,8 @@
 FrPlanner_AnnounceComing(FrPlanner *planner, const BkUp *up, uint32_t model,
                          BkMs eta)
 {
-    bkp_change row = {BKP_MODEL_COMING, up->key,     up->orders, model,
-                      0,                (u_int)eta};
+    bkp_change row = {BKP_MODEL_COMING, up->key, up->orders, model, 0,
+                      (u_int)eta};
 
     announce(planner, &row);
 }
@@ -272,14 +272,13 @@
     if (move->from_store) {
         note_store_load(planner, now);
     }
-    BkLog_Event(BK_LOG_INFO, "planner", NULL, "move",
-                "s:s, s:s, s:s, s:s, s:f, s:i, s:b", "upstream",
-                engine->up->id, "kind",
-                move->kind == BK_PLAN_LOAD ? "load" : "unload", "model",
-                model->name, "why", move->why, "work",
-                FrDemand_Work(planner, model->key), "waiting",
-                FrDemand_Waiting(planner, model->key), "from_store",
-                move->from_store);
+    BkLog_Event(
+        BK_LOG_INFO, "planner", NULL, "move",
+        "s:s, s:s, s:s, s:s, s:f, s:i, s:b", "upstream", engine->up->id,
+        "kind", move->kind == BK_PLAN_LOAD ? "load" : "unload", "model",
+        model->name, "why", move->why, "work",
+        FrDemand_Work(planner, model->key), "waiting",
+        FrDemand_Waiting(planner, model->key), "from_store", move->from_store);
     BkCounter_Add(planner->loads, move->kind == BK_PLAN_LOAD ? 1 : 0);
     FrEngine_Order(engine, &order, now);
 }
@@ -430,8 +429,8 @@
 
     planner->front = front;
     planner->heard_at = BK_MS_NEVER;
-    planner->orders = BkCounter_Get("bk_front_orders_total", NULL,
-                                    "orders sent to engines");
+    planner->orders =
+        BkCounter_Get("bk_front_orders_total", NULL, "orders sent to engines");
     planner->loads = BkCounter_Get("bk_front_loads_total", NULL,
                                    "loads of models that were decided");
     FrElection_Init(planner);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -16,7 +16,7 @@
 #include "front.h"
 
 enum {
-    FR_MAX_WANTS = 32,       /* adapters asked for at one engine */
+    FR_MAX_WANTS = 32,         /* adapters asked for at one engine */
     FR_MAX_RECENT_LOADS = 256, /* begun in the weight store's window */
     FR_MODEL_NAME = BKP_NAME
 };
@@ -45,29 +45,29 @@
 typedef struct FrSlot {
     uint32_t model;
     uint32_t adapter;
-    BkMs ordered;  /* when it was; 0: before this term */
-    BkMs used;     /* when a request was last sent to it */
-    bool told;     /* daemons were told that it is there */
+    BkMs ordered; /* when it was; 0: before this term */
+    BkMs used;    /* when a request was last sent to it */
+    bool told;    /* daemons were told that it is there */
 } FrSlot;
 
 typedef struct FrEngine {
     FrPlanner *planner;
     BkUp *up;
-    bool known;    /* its state was read in this term */
+    bool known; /* its state was read in this term */
     bool polling;
     BkMs poll_at;
-    bool asked;    /* an order was sent, its answer is awaited */
-    bool doubt;    /* the answer was lost; the order is sent again */
+    bool asked; /* an order was sent, its answer is awaited */
+    bool doubt; /* the answer was lost; the order is sent again */
     BkMs again_at;
-    FrOrder order; /* of asked and doubt */
+    FrOrder order;                   /* of asked and doubt */
     uint32_t held[BK_UP_MAX_MODELS]; /* as the engine told, whether or not
                                         requests still go there */
     int held_count;
     uint32_t loading;
     uint32_t unloading;
-    BkMs change_ends;     /* when it is expected to be done */
+    BkMs change_ends; /* when it is expected to be done */
     BkMs change_began;
-    uint32_t meant_for;   /* model that room is made for */
+    uint32_t meant_for; /* model that room is made for */
     BkMs meant_until;
     FrWant wants[FR_MAX_WANTS];
     int want_count;
@@ -141,8 +141,7 @@
 void FrPlanner_Heard(FrPlanner *planner, const bkp_news *news, BkMs now);
 
 /* A request was made of a model, with an adapter at up or without. */
-void FrPlanner_NoteRequest(FrPlanner *planner, uint32_t model,
-                           int64_t tokens);
+void FrPlanner_NoteRequest(FrPlanner *planner, uint32_t model, int64_t tokens);
 void FrPlanner_NoteUse(FrPlanner *planner, const BkUp *up, uint32_t model,
                        uint32_t adapter);
 
--- a/src/front/queue.c
+++ b/src/front/queue.c
@@ -1,8 +1,8 @@
 #include "front.h"
 
 enum {
-    MAX_KINDS = 32,  /* of requests that one look at the queue tells apart */
-    LOOK_EVERY = 20  /* ms between looks while somebody waits */
+    MAX_KINDS = 32, /* of requests that one look at the queue tells apart */
+    LOOK_EVERY = 20 /* ms between looks while somebody waits */
 };
 
 /* What makes two waiting requests alike: if one found no place, the other
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -79,25 +79,24 @@
 {
     BkMs now = BkClock_Now();
 
-    BkLog_Event(BK_LOG_INFO, "relay", relay->id, "answered",
-                "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, "
-                "s:I, s:I, s:I",
-                "route", relay->route, "service", relay->service, "model",
-                relay->model, "adapter", relay->adapter, "code", code, "why",
-                relay->why, "upstream", relay->last_up, "sends", relay->sends,
-                "runs", relay->runs, "sent_ms",
-                (json_int_t)(relay->sends > 0 ? relay->sent_at - relay->started
-                                              : -1),
-                "first_ms",
-                (json_int_t)(relay->first_sent ? relay->first_at - relay->started
-                                               : -1),
-                "last_ms",
-                (json_int_t)(relay->first_sent ? relay->last_at - relay->started
-                                               : -1),
-                "took_ms", (json_int_t)(now - relay->started), "config",
-                (json_int_t)(relay->front->site == NULL
-                                 ? 0
-                                 : relay->front->site->version));
+    BkLog_Event(
+        BK_LOG_INFO, "relay", relay->id, "answered",
+        "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, "
+        "s:I, s:I, s:I",
+        "route", relay->route, "service", relay->service, "model",
+        relay->model, "adapter", relay->adapter, "code", code, "why",
+        relay->why, "upstream", relay->last_up, "sends", relay->sends, "runs",
+        relay->runs, "sent_ms",
+        (json_int_t)(relay->sends > 0 ? relay->sent_at - relay->started : -1),
+        "first_ms",
+        (json_int_t)(relay->first_sent ? relay->first_at - relay->started
+                                       : -1),
+        "last_ms",
+        (json_int_t)(relay->first_sent ? relay->last_at - relay->started : -1),
+        "took_ms", (json_int_t)(now - relay->started), "config",
+        (json_int_t)(relay->front->site == NULL
+                         ? 0
+                         : relay->front->site->version));
 }
 
 /* the caller has all that it will get */
@@ -212,7 +211,8 @@
     if (BkBudget_Spend(FrFront_Budget(front, relay->query.service),
                        &(BkBudgetConf){front->conf.retry_ratio,
                                        (double)front->conf.retry_slack,
-                                       front->conf.retry_window, 0.85},
+                                       front->conf.retry_window,
+                                       BK_BUDGET_SHARE},
                        FrFront_CountDaemons(front), now)) {
         BkCounter_Add(front->metrics.repeats, 1);
         return true;
@@ -228,9 +228,8 @@
     BkBuf head = BkBuf_Make(0);
     BkUpstreamHint hint = {.deadline = relay->until - now,
                            .id = up->id,
-                           .urgency = relay->query.model == 0
-                                          ? -1
-                                          : relay->priority,
+                           .urgency =
+                               relay->query.model == 0 ? -1 : relay->priority,
                            .resumes = relay->has_event,
                            .last_event = relay->last_event};
 
@@ -439,7 +438,8 @@
         end_attempt(relay, false, true, "no connection to the upstream");
         return;
     case FR_LINK_SILENT:
-        end_attempt(relay, true, true, "the upstream closed without an answer");
+        end_attempt(relay, true, true,
+                    "the upstream closed without an answer");
         return;
     case FR_LINK_GARBAGE:
         end_attempt(relay, true, true, "what the upstream sent is no answer");
@@ -700,8 +700,7 @@
         }
     }
     if (head->chunked || head->length >= 0) {
-        BkBuf_Printf(&relay->head, "Content-Length: %zu\r\n",
-                     relay->body.len);
+        BkBuf_Printf(&relay->head, "Content-Length: %zu\r\n", relay->body.len);
     }
 }
 
--- a/src/front/stream.c
+++ b/src/front/stream.c
@@ -45,8 +45,7 @@
     size_t whole = 0;
 
     for (;;) {
-        size_t n =
-            event_length((BkStr){data.ptr + whole, data.len - whole});
+        size_t n = event_length((BkStr){data.ptr + whole, data.len - whole});
         if (n == 0) {
             return whole;
         }
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -32,14 +32,14 @@
     uint64_t version; /* of the store, taken in */
     bool whole;       /* a list has been read; the feed may go on */
     bool busy;
-    bool listing;     /* further parts of a list are on the way */
-    char *from;       /* of the next part */
+    bool listing; /* further parts of a list are on the way */
+    char *from;   /* of the next part */
     BkMs called_at;
     BkMs pause;
     BkTimer *timer;
     BkMs hurried_at;
     BkMs behind_at; /* since when another daemon knows more; 0: none does */
-    uint64_t call; /* number of the newest call; others' answers are void */
+    uint64_t call;  /* number of the newest call; others' answers are void */
 } Follower;
 
 struct FrSync {
@@ -77,8 +77,10 @@
     }
     BkSite *site = BkAdapter_DecodeSite(row->value);
     if (site == NULL) {
-        BK_LOG(BK_LOG_ERR, "sync", NULL, "%s; version %llu of the row is "
-               "left out", BkErr_Last(), (unsigned long long)row->version);
+        BK_LOG(BK_LOG_ERR, "sync", NULL,
+               "%s; version %llu of the row is "
+               "left out",
+               BkErr_Last(), (unsigned long long)row->version);
         return;
     }
     if (front->site != NULL && site->version <= front->site->version) {
@@ -172,10 +174,9 @@
     note_health(follower, false, now);
     pause = pause == 0 ? PAUSE_FIRST : pause * 2;
     follower->pause = pause < PAUSE_MOST ? pause : PAUSE_MOST;
-    call_again(follower,
-               follower->pause / 2 +
-                   (BkMs)BkRng_Below(&follower->sync->front->rng,
-                                     (uint32_t)follower->pause));
+    call_again(follower, follower->pause / 2 +
+                             (BkMs)BkRng_Below(&follower->sync->front->rng,
+                                               (uint32_t)follower->pause));
 }
 
 /* a part of a list came; true if it was the last one */
--- a/src/h1/parser.c
+++ b/src/h1/parser.c
@@ -26,6 +26,7 @@
     char last;         /* byte of the head before this one */
     bool line_empty;
     bool any_line;
+    bool in_name; /* of a field, in this line */
     bool bodiless;
     BkBuf text; /* target, names and values, one after the other */
     Span target;
@@ -99,8 +100,7 @@
 
     for (int i = 0; i < parser->count; i++) {
         parser->fields[i].name = view(parser, parser->names[i]);
-        parser->fields[i].value =
-            BkStr_Trim(view(parser, parser->values[i]));
+        parser->fields[i].value = BkStr_Trim(view(parser, parser->values[i]));
     }
     *head = (BkH1Head){.minor = http->http_minor,
                        .fields = parser->fields,
@@ -204,6 +204,7 @@
     parser->last = '\0';
     parser->line_empty = true;
     parser->any_line = false;
+    parser->in_name = false;
     parser->bodiless = bodiless;
     parser->target = (Span){0, 0};
     parser->count = 0;
@@ -223,7 +224,7 @@
     }
 }
 
-/* false: a byte that other parsers may read as another line end */
+/* false: a byte that other parsers may take for another line or field */
 static bool
 check_byte(BkH1Parser *parser, char c)
 {
@@ -233,10 +234,17 @@
     if (c == '\0' || (c == '\n') != after_cr) {
         return false;
     }
-    if (c != '\r' && c != '\n') {
-        parser->line_empty = false;
+    if (c == '\r' || c == '\n') {
+        parser->in_name =
+            c == '\n' && (parser->any_line || !parser->line_empty);
+        return true;
     }
-    return true;
+    parser->line_empty = false;
+    if (c == ':') {
+        parser->in_name = false;
+    }
+    /* a blank in or before a name: another parser may see another field */
+    return !parser->in_name || (c != ' ' && c != '\t');
 }
 
 /* How many bytes of data belong to the head; *complete if it ends there. */
--- a/src/net/datagram.c
+++ b/src/net/datagram.c
@@ -110,8 +110,7 @@
         call.rm_call.cb_rpcvers == RPC_MSG_VERSION &&
         call.rm_call.cb_prog == datagram->spec.program &&
         call.rm_call.cb_vers == datagram->spec.version) {
-        const BkDatagramProc *proc =
-            find_proc(datagram, call.rm_call.cb_proc);
+        const BkDatagramProc *proc = find_proc(datagram, call.rm_call.cb_proc);
         good = proc != NULL && deliver(datagram, proc, &xdr, from, len);
     }
     XDR_DESTROY(&xdr);
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -71,8 +71,7 @@
     int64_t cost = BkPick_Backlog(conf, up);
 
     if (query->engine == NULL) {
-        cost = (int64_t)(up->own_running + up->others_running) *
-               conf->per_run;
+        cost = (int64_t)(up->own_running + up->others_running) * conf->per_run;
     }
     if (strcmp(up->domain, query->domain) != 0) {
         cost += conf->far;
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -5,8 +5,8 @@
 typedef struct Plan {
     const BkPlanConf *conf;
     const BkPlanInput *input;
-    int *copies;    /* of each model: held on open engines, or being loaded */
-    bool *touched;  /* engines that got a move in this round */
+    int *copies;   /* of each model: held on open engines, or being loaded */
+    bool *touched; /* engines that got a move in this round */
     int store_loads;
     BkPlanMove *moves;
     int count;
@@ -163,12 +163,11 @@
 static void
 add_load(Plan *plan, int engine, int model, bool from_store, const char *why)
 {
-    plan->moves[plan->count++] =
-        (BkPlanMove){.kind = BK_PLAN_LOAD,
-                     .engine = engine,
-                     .model = model,
-                     .from_store = from_store,
-                     .why = why};
+    plan->moves[plan->count++] = (BkPlanMove){.kind = BK_PLAN_LOAD,
+                                              .engine = engine,
+                                              .model = model,
+                                              .from_store = from_store,
+                                              .why = why};
     plan->touched[engine] = true;
     plan->store_loads -= from_store ? 1 : 0;
 }
--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,157 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/fleet/fleet.h"
+#include "script.h"
+
+typedef struct Bench {
+    BkFleet fleet;
+    BkMs now;
+} Bench;
+
+static const char *const standings[] = {"listed", "missing", "leaving",
+                                        "gone"};
+
+/* report ID ADDRESS BORN ready|draining VERSION [MODEL[+ADAPTER]...] */
+static void
+take_report(Bench *bench, char **words, int count)
+{
+    BkUpReport report = {.id = BkStr_Dup(BkStr_FromC(words[1])),
+                         .address = BkStr_Dup(BkStr_FromC(words[2])),
+                         .service = BkStr_Dup(BK_STR("llm")),
+                         .domain = BkStr_Dup(BK_STR("d1")),
+                         .born = strtoull(words[3], NULL, 10),
+                         .draining = strcmp(words[4], "draining") == 0,
+                         .slots = 4};
+
+    report.models = BkMem_New((size_t)count, sizeof(*report.models));
+    for (int i = 6; i < count; i++) {
+        BkStr adapter = BkStr_FromC(words[i]);
+        BkHeldModel *held = &report.models[report.model_count++];
+        held->name = BkStr_Dup(BkStr_Split(&adapter, '+'));
+        if (adapter.len > 0) {
+            held->adapters = BkMem_New(1, sizeof(char *));
+            held->adapters[held->adapter_count++] = BkStr_Dup(adapter);
+        }
+    }
+    BkFleet_TakeReport(&bench->fleet, &report, strtoull(words[5], NULL, 10),
+                       bench->now);
+    BkUpReport_Destroy(&report);
+}
+
+static void
+show(const Bench *bench, BkBuf *out)
+{
+    for (int i = 0; i < bench->fleet.count; i++) {
+        const BkUp *up = bench->fleet.ups[i];
+        BkBuf_Printf(out, "  %s %s born %llu %s%s models %d adapters %d\n",
+                     up->id, up->address, (unsigned long long)up->born,
+                     standings[up->standing], BkUp_IsOpen(up) ? " open" : "",
+                     up->model_count, up->adapter_count);
+    }
+}
+
+static void
+run_fleet(char **words, int count, BkBuf *out, void *arg)
+{
+    Bench *bench = arg;
+    BkFleet *fleet = &bench->fleet;
+    BkUp *up = count > 1 ? BkFleet_Find(fleet, BkStr_FromC(words[1])) : NULL;
+
+    if (strcmp(words[0], "at") == 0) {
+        bench->now = atoll(words[1]);
+        BkFleet_Sweep(fleet, bench->now);
+    }
+    else if (strcmp(words[0], "report") == 0) {
+        take_report(bench, words, count);
+    }
+    else if (strcmp(words[0], "removed") == 0) {
+        BkFleet_TakeRemoval(fleet, BkStr_FromC(words[1]),
+                            strtoull(words[2], NULL, 10), bench->now);
+    }
+    else if (strcmp(words[0], "list") == 0) {
+        BkFleet_BeginList(fleet);
+    }
+    else if (strcmp(words[0], "end") == 0) {
+        BkFleet_EndList(fleet, strtoull(words[1], NULL, 10), bench->now);
+    }
+    else if (strcmp(words[0], "ill") == 0) {
+        BkFleet_NoteStoreIll(fleet, bench->now);
+    }
+    else if (strcmp(words[0], "leaving") == 0) {
+        BkFleet_MarkLeaving(fleet, up, bench->now);
+    }
+    else if (strcmp(words[0], "stranger") == 0) {
+        BkFleet_MarkGone(fleet, up, bench->now);
+    }
+    else if (strcmp(words[0], "close") == 0) {
+        BkUp_CloseModel(up, BkStr_Key(BkStr_FromC(words[2])),
+                        bench->now + 8000);
+    }
+    else if (strcmp(words[0], "load") == 0) {
+        up->own_running = 3;
+    }
+    else if (strcmp(words[0], "new") == 0) {
+        BkFleet_Destroy(fleet);
+    }
+    else if (strcmp(words[0], "show") == 0) {
+        show(bench, out);
+    }
+    else {
+        BkBuf_Printf(out, "  what?\n");
+    }
+}
+
+START_TEST(test_news)
+{
+    Bench bench = {.now = 0};
+
+    BkScript_Run("fleet", run_fleet, &bench);
+    BkFleet_Destroy(&bench.fleet);
+}
+END_TEST
+
+/* a poll that is older than an order that was accepted changes nothing */
+START_TEST(test_held)
+{
+    BkFleet fleet = {0};
+    char name[] = "m1";
+    char *adapters[] = {"a1"};
+    BkHeldModel models[] = {{name, adapters, 1}};
+    BkUpReport report = {.id = "e1",
+                         .address = "10.0.0.1:80",
+                         .service = "llm",
+                         .domain = "d1",
+                         .models = models,
+                         .model_count = 1};
+    BkUpReport empty = {0};
+    uint32_t m1 = BkStr_Key(BK_STR("m1"));
+    uint32_t a1 = BkStr_Key(BK_STR("a1"));
+    BkUp *up = BkFleet_TakeReport(&fleet, &report, 1, 0);
+
+    ck_assert(BkUp_HoldsAdapter(up, m1, a1));
+    ck_assert(BkUp_TakeHeld(up, &empty, 4, 100));
+    ck_assert(!BkUp_HoldsModel(up, m1));
+    ck_assert(!BkUp_TakeHeld(up, &report, 3, 200));
+    ck_assert(!BkUp_HoldsModel(up, m1));
+    ck_assert(BkUp_TakeHeld(up, &report, 5, 300));
+    /* a report without the adapter does not take it away, one without its
+       model does */
+    models[0].adapter_count = 0;
+    BkFleet_TakeReport(&fleet, &report, 2, 400);
+    ck_assert(BkUp_HoldsAdapter(up, m1, a1));
+    report.model_count = 0;
+    BkFleet_TakeReport(&fleet, &report, 3, 500);
+    ck_assert(!BkUp_HoldsAdapter(up, m1, a1));
+    BkFleet_Destroy(&fleet);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_news, test_held};
+
+    return BkUnit_Main("fleet", tests, 2);
+}
--- /dev/null
+++ b/tests/unit/test_h1.c
@@ -0,0 +1,164 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/h1/h1.h"
+#include "script.h"
+
+enum {
+    MAX_HEAD = 200
+};
+
+typedef struct Bench {
+    size_t step; /* bytes fed at once; 0: all */
+    bool bodiless;
+    BkBuf body;
+} Bench;
+
+static void
+take_body(BkStr data, void *arg)
+{
+    Bench *bench = arg;
+
+    BkBuf_Append(&bench->body, data);
+}
+
+/* the words joined by blanks, with \r, \n, \0 and \s (a blank) replaced */
+static BkBuf
+unescape(char **words, int count)
+{
+    BkBuf text = BkBuf_Make(0);
+
+    for (int i = 1; i < count; i++) {
+        for (const char *at = words[i]; *at != '\0'; at++) {
+            char c = *at;
+            if (c == '\\' && at[1] != '\0') {
+                at++;
+                c = *at == 'r'   ? '\r'
+                    : *at == 'n' ? '\n'
+                    : *at == 's' ? ' '
+                    : *at == '0' ? '\0'
+                                 : *at;
+            }
+            BkBuf_Append(&text, (BkStr){&c, 1});
+        }
+        if (i + 1 < count) {
+            BkBuf_Append(&text, BK_STR(" "));
+        }
+    }
+    return text;
+}
+
+static void
+print_head(const BkH1Parser *parser, BkBuf *out)
+{
+    const BkH1Head *head = BkH1Parser_Head(parser);
+
+    if (head->method.len > 0) {
+        BkBuf_Printf(out, "  %.*s %.*s", BK_STR_ARG(head->method),
+                     BK_STR_ARG(head->target));
+    }
+    else {
+        BkBuf_Printf(out, "  %d", head->code);
+    }
+    BkBuf_Printf(out, " 1.%d length %lld%s%s%s\n", head->minor,
+                 (long long)head->length, head->chunked ? " chunked" : "",
+                 head->until_close ? " until close" : "",
+                 head->keep_alive ? " keep" : " close");
+    for (int i = 0; i < head->count; i++) {
+        BkBuf_Printf(out, "  %.*s = \"%.*s\"\n",
+                     BK_STR_ARG(head->fields[i].name),
+                     BK_STR_ARG(head->fields[i].value));
+    }
+}
+
+static void
+parse(Bench *bench, BkH1Kind kind, BkStr text, bool ends, BkBuf *out)
+{
+    static const char *const states[] = {"idle", "head", "body", "done",
+                                         "bad"};
+    BkH1Parser *parser = BkH1Parser_Create(kind, MAX_HEAD, take_body, bench);
+    bool shown = false;
+
+    BkBuf_Clear(&bench->body);
+    BkH1Parser_Reset(parser, bench->bodiless);
+    while (text.len > 0) {
+        BkStr part = text;
+        if (bench->step > 0 && part.len > bench->step) {
+            part.len = bench->step;
+        }
+        size_t n = BkH1Parser_Feed(parser, part);
+        BkH1State state = BkH1Parser_State(parser);
+        if (!shown && (state == BK_H1_BODY || state == BK_H1_DONE)) {
+            print_head(parser, out);
+            shown = true;
+        }
+        text.ptr += n;
+        text.len -= n;
+        if (state == BK_H1_DONE || state == BK_H1_BAD || n == 0) {
+            break;
+        }
+    }
+    if (ends) {
+        BkH1Parser_Finish(parser);
+    }
+    BkBuf_Printf(out, "  %s%s body \"%s\" behind %zu\n",
+                 states[BkH1Parser_State(parser)],
+                 BkH1Parser_Fault(parser) == BK_H1_HEAD_TOO_LARGE
+                     ? " (head too large)"
+                     : "",
+                 BkBuf_C(&bench->body), text.len);
+    BkH1Parser_Destroy(parser);
+}
+
+static void
+run_h1(char **words, int count, BkBuf *out, void *arg)
+{
+    Bench *bench = arg;
+
+    if (strcmp(words[0], "step") == 0) {
+        bench->step = strtoul(words[1], NULL, 10);
+        return;
+    }
+    if (strcmp(words[0], "bodiless") == 0) {
+        bench->bodiless = strcmp(words[1], "yes") == 0;
+        return;
+    }
+    BkBuf text = unescape(words, count);
+    BkH1Kind kind =
+        strncmp(words[0], "request", 7) == 0 ? BK_H1_REQUEST : BK_H1_RESPONSE;
+    parse(bench, kind, BkBuf_Str(&text), strchr(words[0], '!') != NULL, out);
+    BkBuf_Destroy(&text);
+}
+
+START_TEST(test_messages)
+{
+    Bench bench = {.body = BkBuf_Make(0)};
+
+    BkScript_Run("h1", run_h1, &bench);
+    BkBuf_Destroy(&bench.body);
+}
+END_TEST
+
+START_TEST(test_writing)
+{
+    BkBuf out = BkBuf_Make(0);
+
+    BkH1_PutStatus(&out, 503);
+    BkH1_PutField(&out, BK_STR("A"), BK_STR("b"));
+    BkH1_PutChunk(&out, BK_STR("twelve bytes"));
+    ck_assert_str_eq(BkBuf_C(&out), "HTTP/1.1 503 Service Unavailable\r\n"
+                                    "A: b\r\nc\r\ntwelve bytes\r\n");
+    ck_assert(BkH1_HasToken(BK_STR("keep-alive, X-Hold"), BK_STR("x-hold")));
+    ck_assert(!BkH1_HasToken(BK_STR("keep-alive"), BK_STR("alive")));
+    BkBuf_Destroy(&out);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_messages, test_writing};
+
+    return BkUnit_Main("h1", tests, 2);
+}
--- /dev/null
+++ b/tests/unit/test_pick.c
@@ -0,0 +1,129 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/pick/pick.h"
+#include "script.h"
+
+typedef struct Bench {
+    BkFleet fleet;
+    BkSiteEngine engine;
+    BkPickConf conf;
+    uint64_t version;
+} Bench;
+
+static uint32_t
+key_of(const char *name)
+{
+    return strcmp(name, "-") == 0 ? 0 : BkStr_Key(BkStr_FromC(name));
+}
+
+/* up ID SERVICE DOMAIN SLOTS MODEL[+ADAPTER]... */
+static void
+add_up(Bench *bench, char **words, int count)
+{
+    BkUpReport report = {.id = BkStr_Dup(BkStr_FromC(words[1])),
+                         .address = BkStr_Dup(BK_STR("10.0.0.1:80")),
+                         .service = BkStr_Dup(BkStr_FromC(words[2])),
+                         .domain = BkStr_Dup(BkStr_FromC(words[3])),
+                         .slots = atoi(words[4])};
+
+    BkUp *up = BkFleet_TakeReport(&bench->fleet, &report, ++bench->version, 0);
+    for (int i = 5; i < count; i++) {
+        BkStr adapter = BkStr_FromC(words[i]);
+        BkStr model = BkStr_Split(&adapter, '+');
+        BkUp_SetModel(up, BkStr_Key(model), true);
+        if (adapter.len > 0) {
+            BkUp_SetAdapter(up, BkStr_Key(model), BkStr_Key(adapter), true);
+        }
+    }
+    BkUpReport_Destroy(&report);
+}
+
+/* load ID RUNNING PROMPT */
+static void
+set_load(Bench *bench, char **words)
+{
+    BkUp *up = BkFleet_Find(&bench->fleet, BkStr_FromC(words[1]));
+
+    up->own_running = atoi(words[2]);
+    up->own_prompt = atoll(words[3]);
+}
+
+/* pick SERVICE MODEL ADAPTER PROMPT SHARED [TRIED...] */
+static void
+pick(Bench *bench, char **words, int count, BkBuf *out)
+{
+    static const char *const verdicts[] = {"send to", "adapter needed at",
+                                           "full", "not held", "nobody"};
+    BkPickQuery query = {.engine = strcmp(words[2], "-") == 0 ? NULL
+                                                              : &bench->engine,
+                         .service = key_of(words[1]),
+                         .model = key_of(words[2]),
+                         .adapter = key_of(words[3]),
+                         .prompt = atoll(words[4]),
+                         .shared = strtoull(words[5], NULL, 10),
+                         .domain = "here"};
+
+    for (int i = 6; i < count; i++) {
+        query.tried[query.tried_count++] = key_of(words[i]);
+    }
+    BkPickChoice choice =
+        BkPick_Choose(&bench->conf, &bench->fleet, &query, 1000);
+    BkBuf_Printf(out, "  %s%s%s\n", verdicts[choice.verdict],
+                 choice.up == NULL ? "" : " ",
+                 choice.up == NULL ? "" : choice.up->id);
+}
+
+static void
+run_pick(char **words, int count, BkBuf *out, void *arg)
+{
+    Bench *bench = arg;
+    BkUp *up =
+        count > 1 ? BkFleet_Find(&bench->fleet, BkStr_FromC(words[1])) : NULL;
+
+    if (strcmp(words[0], "up") == 0) {
+        add_up(bench, words, count);
+    }
+    else if (strcmp(words[0], "load") == 0) {
+        set_load(bench, words);
+    }
+    else if (strcmp(words[0], "avoid") == 0) {
+        up->avoid_until = 2000;
+    }
+    else if (strcmp(words[0], "leaving") == 0) {
+        BkFleet_MarkLeaving(&bench->fleet, up, 0);
+    }
+    else if (strcmp(words[0], "missing") == 0) {
+        BkFleet_NoteStoreIll(&bench->fleet, 900);
+        BkFleet_TakeRemoval(&bench->fleet, BkStr_FromC(words[1]),
+                            ++bench->version, 1000);
+    }
+    else if (strcmp(words[0], "new") == 0) {
+        BkFleet_Destroy(&bench->fleet);
+    }
+    else {
+        pick(bench, words, count, out);
+    }
+}
+
+START_TEST(test_choices)
+{
+    Bench bench = {.conf = {.window = 4096,
+                            .per_run = 60,
+                            .affinity = 600,
+                            .far = 30,
+                            .full = 2}};
+
+    BkScript_Run("pick", run_pick, &bench);
+    BkFleet_Destroy(&bench.fleet);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_choices};
+
+    return BkUnit_Main("pick", tests, 1);
+}
--- /dev/null
+++ b/tests/unit/test_wait.c
@@ -0,0 +1,58 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/wait/wait.h"
+#include "script.h"
+
+static BkWaitCause
+parse_cause(const char *name)
+{
+    if (strcmp(name, "full") == 0) {
+        return BK_WAIT_FULL;
+    }
+    return strcmp(name, "adapter") == 0 ? BK_WAIT_ADAPTER : BK_WAIT_MODEL;
+}
+
+/* CAUSE waited N patience N left N ready N planner|alone draw N% */
+static void
+run_wait(char **words, int count, BkBuf *out, void *arg)
+{
+    const BkWaitConf *conf = arg;
+    BkWaitCase wait = {.cause = parse_cause(words[0]),
+                       .waited = atoll(words[2]),
+                       .patience = atoll(words[4]),
+                       .left = atoll(words[6]),
+                       .ready_in = atoll(words[8]),
+                       .planner = strcmp(words[9], "planner") == 0,
+                       .draw = count > 11 ? atof(words[11]) / 100 : 0};
+    BkWaitVerdict verdict = BkWait_Judge(conf, &wait);
+
+    if (verdict.refuse) {
+        BkBuf_Printf(out, "  refuse, back in %lld\n",
+                     (long long)verdict.retry_after);
+    }
+    else {
+        BkBuf_Printf(out, "  wait\n");
+    }
+}
+
+START_TEST(test_verdicts)
+{
+    BkWaitConf conf = {.margin = 60,
+                       .decide = 1200,
+                       .no_planner = 3000,
+                       .full_return = 400,
+                       .return_share = 0.33};
+
+    BkScript_Run("wait", run_wait, &conf);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_verdicts};
+
+    return BkUnit_Main("wait", tests, 1);
+}
