front: answer what still waits before a planned stop ends

Those that wait are refused three seconds after SIGTERM, and what is under way at the end gets an answer.

--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -206,12 +206,10 @@
 check_change(FrEngine *engine, bool busy, BkMs now)
 {
     bool old = now - engine->change_began <= 2 * STATE_LAG;
+    bool over = !busy && !old;
 
-    if (engine->loading != 0 &&
-        (holds(engine, engine->loading) || (!busy && !old))) {
-        end_change(engine, now);
-    }
-    else if (engine->unloading != 0 && !busy && !old) {
+    if ((engine->loading != 0 && (holds(engine, engine->loading) || over)) ||
+        (engine->unloading != 0 && over)) {
         end_change(engine, now);
     }
 }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -10,6 +10,7 @@
     TICK = 200,         /* ms between sweeps */
     STOP_ACCEPT = 3000, /* ms after SIGTERM that new connections are taken:
                              the balancer asks each second, twice */
+    STOP_RETRY = 50,    /* ms; Retry-After of those that still waited */
     STOP_MARGIN = 400   /* ms before SIGKILL at which the process ends */
 };
 
@@ -92,8 +93,12 @@
 
     if (since >= STOP_ACCEPT) {
         FrCallers_StopListening(front);
+        FrQueue_RefuseAll(front, "the daemon is stopping", STOP_RETRY);
         FrCallers_CloseIdle(front);
     }
+    if (since >= front->conf.grace - STOP_MARGIN) {
+        FrRelays_EndAll(front);
+    }
     if ((since >= STOP_ACCEPT && front->caller_count == 0) ||
         since >= front->conf.grace - STOP_MARGIN) {
         BkLoop_Stop(front->loop);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -276,8 +276,14 @@
 /* A final answer of our own. */
 void FrRelay_Refuse(FrRelay *relay, int code, const char *why,
                     BkMs retry_after);
+
+/* No more attempts: says that it has not run only if that is so. */
+void FrRelay_GiveUp(FrRelay *relay, const char *why, BkMs retry_after);
 void FrRelay_Free(FrRelay *relay);
 
+/* The process ends: each gets the truest answer that there is. */
+void FrRelays_EndAll(FrFront *front);
+
 /* from link.c */
 typedef enum FrTake {
     FR_TAKE_BODY, /* the answer's body is wanted */
@@ -297,6 +303,9 @@
 void FrQueue_Remove(FrRelay *relay);
 void FrQueue_WakeSoon(FrFront *front, BkMs after);
 
+/* Refuses all that wait: none of them has run. */
+void FrQueue_RefuseAll(FrFront *front, const char *why, BkMs retry_after);
+
 /* Tries those that wait, in their order; arg is the front. */
 void FrQueue_Look(void *arg);
 
--- a/src/front/queue.c
+++ b/src/front/queue.c
@@ -124,6 +124,14 @@
     }
 }
 
+void
+FrQueue_RefuseAll(FrFront *front, const char *why, BkMs retry_after)
+{
+    while (front->waiting != NULL) {
+        FrRelay_GiveUp(front->waiting, why, retry_after);
+    }
+}
+
 void
 FrQueue_WakeSoon(FrFront *front, BkMs after)
 {
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -158,15 +158,23 @@
     }
 }
 
-/* no more attempts: the truest answer to what happened so far */
-static void
-give_up(FrRelay *relay, const char *why)
+void
+FrRelay_GiveUp(FrRelay *relay, const char *why, BkMs retry_after)
 {
-    if (relay->runs > 0) {
+    /* what is under way may have run as well */
+    if (relay->runs > 0 || relay->link != NULL) {
         FrRelay_Refuse(relay, 502, why, 0);
     }
     else {
-        FrRelay_Refuse(relay, 503, why, RETRY_NOBODY);
+        FrRelay_Refuse(relay, 503, why, retry_after);
+    }
+}
+
+void
+FrRelays_EndAll(FrFront *front)
+{
+    while (front->relays != NULL) {
+        FrRelay_GiveUp(front->relays, "the daemon ends", 0);
     }
 }
 
@@ -234,7 +242,7 @@
                            .last_event = relay->last_event};
 
     if (relay->sends > 0 && !spend_repeat(relay, now)) {
-        give_up(relay, "the retry budget is spent");
+        FrRelay_GiveUp(relay, "the retry budget is spent", RETRY_NOBODY);
         return true;
     }
     BkBuf_Append(&head, BkBuf_Str(&relay->head));
@@ -244,7 +252,7 @@
                               BkBuf_Str(&relay->body), relay->bodiless);
     BkBuf_Destroy(&head);
     if (relay->link == NULL) {
-        give_up(relay, "no connection could be opened");
+        FrRelay_GiveUp(relay, "no connection could be opened", RETRY_NOBODY);
         return true;
     }
     relay->up = BkUp_Ref(up);
@@ -309,12 +317,7 @@
         FrQueue_Add(relay);
         return false;
     }
-    if (relay->runs > 0) {
-        FrRelay_Refuse(relay, 502, whys[cause], 0);
-    }
-    else {
-        FrRelay_Refuse(relay, 503, whys[cause], verdict.retry_after);
-    }
+    FrRelay_GiveUp(relay, whys[cause], verdict.retry_after);
     return true;
 }
 
@@ -353,10 +356,11 @@
         return wait_or_refuse(relay, BK_WAIT_MODEL, now);
     case BK_PICK_NOBODY:
         if (relay->query.tried_count > 0) {
-            give_up(relay, "every upstream was tried");
+            FrRelay_GiveUp(relay, "every upstream was tried", RETRY_NOBODY);
         }
         else {
-            give_up(relay, "no upstream of the service is usable");
+            FrRelay_GiveUp(relay, "no upstream of the service is usable",
+                           RETRY_NOBODY);
         }
         return true;
     }
@@ -392,7 +396,7 @@
         may = false;
     }
     if (!may) {
-        give_up(relay, why);
+        FrRelay_GiveUp(relay, why, RETRY_NOBODY);
         return;
     }
     if (relay->stage == FR_SENT) {
