--- a/include/bk/budget/budget.h
+++ b/include/bk/budget/budget.h
@@ -26,6 +26,7 @@
     double ratio;
     double slack; /* of all daemons */
     BkMs window;
+    BkMs began;   /* start of the daemon */
     double share; /* of both that is used, such as BK_BUDGET_SHARE */
 } BkBudgetConf;
 
@@ -34,7 +35,6 @@
     double requests[BK_BUDGET_SLICES];
     double repeats[BK_BUDGET_SLICES];
     int64_t slice; /* number of the newest */
-    BkMs began;
     bool used;
 } BkBudget;
 
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -41,10 +41,11 @@
 
 typedef enum BkPickVerdict {
     BK_PICK_SEND,
-    BK_PICK_ADAPTER,  /* up holds the model but not yet the adapter */
-    BK_PICK_FULL,     /* those that could serve it are full */
-    BK_PICK_NOT_HELD, /* upstreams are there, none holds the model */
-    BK_PICK_NOBODY    /* no upstream of the service is usable */
+    BK_PICK_ADAPTER,   /* up holds the model but not yet the adapter */
+    BK_PICK_FULL,      /* those that could serve it are full */
+    BK_PICK_ALL_TRIED, /* those that could serve it were tried */
+    BK_PICK_NOT_HELD,  /* upstreams are there, none holds the model */
+    BK_PICK_NOBODY     /* no upstream of the service is usable */
 } BkPickVerdict;
 
 typedef struct BkPickChoice {
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -8,7 +8,6 @@
 
     if (!budget->used) {
         budget->used = true;
-        budget->began = now;
         budget->slice = slice;
     }
     for (int n = 0; budget->slice < slice && n < BK_BUDGET_SLICES; n++) {
@@ -42,7 +41,7 @@
                BkMs now)
 {
     advance(budget, conf, now);
-    double age = (double)(now - budget->began) / (double)conf->window;
+    double age = (double)(now - conf->began) / (double)conf->window;
     double part = conf->slack / daemons * (age < 1 ? age : 1);
     double most =
         conf->share * (conf->ratio * sum_up(budget->requests) + part);
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -40,8 +40,8 @@
     }
 }
 
-BkBudget *
-FrFront_Budget(FrFront *front, uint32_t service)
+static BkBudget *
+find_budget(FrFront *front, uint32_t service)
 {
     int at = 0;
 
@@ -65,6 +65,33 @@
     return FrPeers_Count(front->peers);
 }
 
+static BkBudgetConf
+budget_conf(const FrFront *front)
+{
+    return (BkBudgetConf){.ratio = front->conf.retry_ratio,
+                          .slack = (double)front->conf.retry_slack,
+                          .window = front->conf.retry_window,
+                          .began = front->started,
+                          .share = BK_BUDGET_SHARE};
+}
+
+void
+FrFront_EarnBudget(FrFront *front, uint32_t service, BkMs now)
+{
+    BkBudgetConf conf = budget_conf(front);
+
+    BkBudget_Earn(find_budget(front, service), &conf, now);
+}
+
+bool
+FrFront_SpendBudget(FrFront *front, uint32_t service, BkMs now)
+{
+    BkBudgetConf conf = budget_conf(front);
+
+    return BkBudget_Spend(find_budget(front, service), &conf,
+                          FrFront_CountDaemons(front), now);
+}
+
 bool
 FrFront_IsReady(const FrFront *front)
 {
@@ -164,6 +191,7 @@
     front->conf_path = conf_path;
     front->listen_fd = -1;
     front->born = (uint64_t)BkClock_Wall();
+    front->started = BkClock_Now();
     front->rng = BkRng_Make(front->born ^ BkStr_Key(BkStr_FromC(conf->name)));
     front->metrics = FrMetrics_Get();
     front->loop = BkLoop_Create();
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -70,7 +70,8 @@
     BkStore *store;
     BkRng rng;
     uint64_t born; /* start of this process, ms since 1970 */
-    BkSite *site;  /* NULL before the first */
+    BkMs started;
+    BkSite *site; /* NULL before the first */
     BkFleet fleet;
     FrSync *sync;
     FrPeers *peers;
@@ -114,8 +115,11 @@
 /* Frees dead objects once no callback is running. */
 void FrFront_ReapSoon(FrFront *front);
 
-/* The retry budget of a service. */
-BkBudget *FrFront_Budget(FrFront *front, uint32_t service);
+/* A caller's request for the service came in. */
+void FrFront_EarnBudget(FrFront *front, uint32_t service, BkMs now);
+
+/* Takes one repeat of the service's budget, if it is within the limit. */
+bool FrFront_SpendBudget(FrFront *front, uint32_t service, BkMs now);
 
 /* Daemons that may share the limits, this one included. */
 int FrFront_CountDaemons(const FrFront *front);
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -216,12 +216,7 @@
 {
     FrFront *front = relay->front;
 
-    if (BkBudget_Spend(FrFront_Budget(front, relay->query.service),
-                       &(BkBudgetConf){front->conf.retry_ratio,
-                                       (double)front->conf.retry_slack,
-                                       front->conf.retry_window,
-                                       BK_BUDGET_SHARE},
-                       FrFront_CountDaemons(front), now)) {
+    if (FrFront_SpendBudget(front, relay->query.service, now)) {
         BkCounter_Add(front->metrics.repeats, 1);
         return true;
     }
@@ -354,14 +349,17 @@
         return wait_or_refuse(relay, BK_WAIT_FULL, now);
     case BK_PICK_NOT_HELD:
         return wait_or_refuse(relay, BK_WAIT_MODEL, now);
-    case BK_PICK_NOBODY:
-        if (relay->query.tried_count > 0) {
-            FrRelay_GiveUp(relay, "every upstream was tried", RETRY_NOBODY);
-        }
-        else {
-            FrRelay_GiveUp(relay, "no upstream of the service is usable",
-                           RETRY_NOBODY);
+    case BK_PICK_ALL_TRIED:
+        if (relay->runs > 0 && may_run_again(relay) &&
+            relay->sends < BK_PICK_MAX_TRIED) {
+            relay->query.tried_count = 0; /* one of them may do by now */
+            return FrRelay_Dispatch(relay);
         }
+        FrRelay_GiveUp(relay, "every upstream was tried", RETRY_NOBODY);
+        return true;
+    case BK_PICK_NOBODY:
+        FrRelay_GiveUp(relay, "no upstream of the service is usable",
+                       RETRY_NOBODY);
         return true;
     }
     return false;
@@ -843,8 +841,7 @@
     relay->body = caller->body;
     caller->body = BkBuf_Make(0);
     build_head(relay, head);
-    BkBudget_Earn(FrFront_Budget(front, relay->query.service),
-                  &(BkBudgetConf){.window = front->conf.retry_window}, now);
+    FrFront_EarnBudget(front, relay->query.service, now);
     if (relay->model != NULL) {
         FrPlanner_NoteRequest(front->planner, relay->query.model,
                               says.prompt + OUTPUT_WEIGHT * says.output);
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -11,8 +11,9 @@
 } Best;
 
 typedef struct Tally {
-    bool any;  /* an open upstream of the service */
-    bool held; /* one of them with the model */
+    bool any;     /* an open upstream of the service */
+    bool held;    /* one of them with the model */
+    bool untried; /* one of these that was not tried */
 } Tally;
 
 int64_t
@@ -90,7 +91,11 @@
         return false;
     }
     tally->held = true;
-    return !was_tried(query, up);
+    if (was_tried(query, up)) {
+        return false;
+    }
+    tally->untried = true;
+    return true;
 }
 
 static bool
@@ -139,9 +144,10 @@
         }
     }
     if (best.up == NULL) {
-        BkPickVerdict none = !tally.any    ? BK_PICK_NOBODY
-                             : !tally.held ? BK_PICK_NOT_HELD
-                                           : BK_PICK_FULL;
+        BkPickVerdict none = !tally.any       ? BK_PICK_NOBODY
+                             : !tally.held    ? BK_PICK_NOT_HELD
+                             : !tally.untried ? BK_PICK_ALL_TRIED
+                                              : BK_PICK_FULL;
         return (BkPickChoice){none, NULL};
     }
     if (home.up != NULL && home.rank == best.rank &&
--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -21,6 +21,7 @@
 
     if (strcmp(words[0], "new") == 0) {
         bench->budget = (BkBudget){0};
+        bench->conf.began = bench->now;
         bench->daemons = n;
     }
     else if (strcmp(words[0], "at") == 0) {
@@ -42,7 +43,8 @@
 
 START_TEST(test_limits)
 {
-    Bench bench = {.conf = {0.2, 56, 10000, 1.0}, .daemons = 8};
+    Bench bench = {
+        .conf = {.ratio = 0.2, .slack = 56, .window = 10000, .share = 1}};
 
     BkScript_Run("budget", run_budget, &bench);
 }
@@ -56,24 +58,32 @@
         SECONDS = 60,
         PER_SECOND = 20
     };
-    const BkBudgetConf conf = {0.2, 56, 10000, BK_BUDGET_SHARE};
+    BkBudgetConf confs[DAEMONS];
     static int requests[SECONDS * 10];
     static int repeats[SECONDS * 10];
     BkBudget budgets[DAEMONS] = {0};
     unsigned seed = 7;
 
+    for (int d = 0; d < DAEMONS; d++) {
+        confs[d] = (BkBudgetConf){.ratio = 0.2,
+                                  .slack = 56,
+                                  .window = 10000,
+                                  .began = 100000,
+                                  .share = BK_BUDGET_SHARE};
+    }
     for (int tenth = 0; tenth < SECONDS * 10; tenth++) {
         BkMs now = 100000 + tenth * 100;
         for (int d = 0; d < DAEMONS; d++) {
             int n = rand_r(&seed) % (2 * PER_SECOND / 10);
             for (int i = 0; i < n; i++) {
-                BkBudget_Earn(&budgets[d], &conf, now);
+                BkBudget_Earn(&budgets[d], &confs[d], now);
                 requests[tenth]++;
                 repeats[tenth] +=
-                    BkBudget_Spend(&budgets[d], &conf, DAEMONS, now);
+                    BkBudget_Spend(&budgets[d], &confs[d], DAEMONS, now);
             }
             if (rand_r(&seed) % 200 == 0) {
                 budgets[d] = (BkBudget){0}; /* it starts anew */
+                confs[d].began = now;
             }
         }
     }
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -54,8 +54,9 @@
 static void
 pick(Bench *bench, char **words, int count, BkBuf *out)
 {
-    static const char *const verdicts[] = {"send to", "adapter needed at",
-                                           "full", "not held", "nobody"};
+    static const char *const verdicts[] = {"send to",  "adapter needed at",
+                                           "full",     "all tried",
+                                           "not held", "nobody"};
     BkPickQuery query = {.engine = strcmp(words[2], "-") == 0 ? NULL
                                                               : &bench->engine,
                          .service = key_of(words[1]),
