--- /dev/null
+++ b/tests/proof/case_front_state.py
@@ -0,0 +1,261 @@
+"""bk-front's state: configuration, reports, leases, orders, recovery."""
+import contextlib
+import time
+
+from basics import case, check, request, wait
+from case_front import play, runs, serve
+from platform_standins import (Caller, Front, Replica, Store, configure,
+                               route)
+
+ENGINE = {"slots": 64, "kvCapacityTokens": 100000, "stride": 3,
+          "weightsMb": 200, "adapterSlots": 2, "loadsPerS": 2,
+          "hostMb": 100, "diskMb": 400,
+          "models": [{"name": name, "weightsMb": 90, "loadS": 0.1,
+                      "diskS": 0.1, "warmS": 0.1, "adapters": 4,
+                      "adapterMb": 1} for name in ("m1", "m2", "m3")]}
+
+
+def engines(world, models, fronts=1):
+    """Fronts before engines that hold these models."""
+    store = Store()
+    configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
+              ENGINE)
+    ups = [Replica(store, "e-%d" % n, "llm", models=held)
+           for n, held in enumerate(models)]
+    daemons = []
+    for n in range(fronts):
+        daemons.append(Front(world, store, "front-%d" % n))
+    for daemon in daemons:
+        daemon.await_ready()
+    return store, ups, daemons
+
+
+def ask(front, model, **fields):
+    return Caller(front).ask("/llm/", b"", X_Model=model,
+                             X_Token_Count="100,10", **fields)
+
+
+def terms(daemons):
+    return [x["term"] for d in daemons for x in d.events("term begins")]
+
+
+@case
+def state_configuration_never_back(world):
+    """A newer configuration is acted upon, an older one never, whether it
+    comes by the feed, by a whole list after lost history, or late."""
+    store, ups, front = serve(world, 1)
+
+    def versions():
+        return [x["version"] for x in front.events("configuration")]
+    configure(store, 5, [route("safe", "safe"), route("new", "safe")])
+    wait("version 5", lambda: 5 in versions())
+    check(Caller(front).ask("/new/")[0] == 200, "the new route")
+    configure(store, 4, [route("old", "safe")])
+    store.put("op", "config", b"no configuration")
+    store.put("op", "other", {"version": 9})
+    with store.lock:
+        store.forgotten = store.version + 1
+    store.put("op", "mark", {})
+    configure(store, 6, [route("last", "safe")])
+    wait("version 6", lambda: 6 in versions())
+    check(versions() == [1, 5, 6], "%s", versions())
+    check(Caller(front).ask("/last/")[0] == 200 and
+          Caller(front).ask("/new/")[0] == 404, "in force")
+
+
+@case
+def state_leaving(world):
+    """No new request for an upstream that reports that it drains, whose report
+    is removed, or cannot be read; the others serve on."""
+    store, ups, front = serve(world, 4)
+    caller = Caller(front)
+    ups[0].register(state="draining")
+    store.put("servers", "i-1", None)
+    store.put("servers", "i-2", {"service": "app", "state": "ready"})
+    store.put("servers", "i-9", b"\xff\xfe")
+    wait("they are out", lambda: {
+        x["id"] for x in front.events("upstream")
+        if x["is"] in ("leaving", "gone")} >= {"i-0", "i-1", "i-2"})
+    for up in ups:
+        up.runs.clear()
+    for _ in range(20):
+        check(caller.ask("/once/", b"")[0] == 200, "served")
+    check(len(ups[3].runs) == 20, "%s", [len(x.runs) for x in ups])
+    # leaving is not taken back, a new start under the same id is another one
+    ups[0].register(state="ready")
+    ups[2].register(state="ready", born=7)
+    wait("i-2 is back", lambda: (caller.ask("/once/", b""), ups[2].runs)[1])
+    check(not ups[0].runs and not ups[1].runs, "leaving ones served")
+
+
+@case
+def state_store_away(world):
+    """While the store is away, service goes on; reports that lapsed meanwhile
+    are missed only if they do not come back."""
+    store, ups, front = serve(world, 2)
+    caller = Caller(front)
+    store.refuse = 503
+    wait("it is missed", lambda: front.events("store lost"))
+    check(caller.ask("/once/", b"")[0] == 200, "served meanwhile")
+    for up in ups:
+        store.put("servers", up.id, None)
+    store.refuse = None
+    wait("it is back", lambda: front.events("store regained"))
+    check(caller.ask("/once/", b"")[0] == 200, "served after its return")
+    ups[0].register()
+    wait("i-1 is gone", lambda: any(
+        x["id"] == "i-1" and x["is"] == "gone"
+        for x in front.events("upstream")))
+    ups[1].runs.clear()
+    for _ in range(10):
+        check(caller.ask("/once/", b"")[0] == 200, "served by the other")
+    check(not ups[1].runs, "the one that stayed away served")
+
+
+@case
+def state_adapter_on_demand(world):
+    """A request for an adapter that is not there brings it, within the slots
+    of the engine; what is in the way goes first."""
+    _, (up,), (front,) = engines(world, [{"m1": set()}])
+    for n in (1, 2, 3, 4, 1):
+        code = wait("a%d is served" % n,
+                    lambda: ask(front, "m1/a%d" % n)[0] == 200)
+        check(code, "a%d", n)
+        most = max(len(x) for x in up.models.values())
+        check(most <= 2, "%d adapters", most)
+        time.sleep(2.6)  # in use lately: not taken away
+    check(all(x["expected"] is not None for x in up.orders), "expected")
+
+
+@case
+def state_orders_in_doubt(world):
+    """An order whose answer is lost is carried out once: it is sent again
+    with the same count, and memory is never ordered beyond its size."""
+    _, ups, (front,) = engines(world, [{"m1": set()}, {"m2": set()}])
+    for up in ups:
+        up.late = 2
+    wait("m3 is there", lambda: any("m3" in up.models for up in ups))
+    for n in (1, 2):
+        wait("an adapter", lambda: ask(front, "m1/a%d" % n)[0] == 200)
+    for up in ups:
+        done = [x for x in up.orders if x["code"] == 202]
+        loads = [(x["model"], x.get("adapter")) for x in done
+                 if x["operation"] == "load"]
+        check(len(up.models) <= 2, "%s at once", up.models)
+        check(len(loads) == len(set(loads)), "twice: %s", loads)
+
+
+@case
+def state_takeover(world):
+    """When the planner is killed another daemon takes over: its fence is
+    higher, and orders of two holders never mix."""
+    _, ups, daemons = engines(world, [{"m1": set()}, {"m2": set()}], 3)
+    wait("a planner", lambda: terms(daemons))
+    wait("an adapter", lambda: ask(daemons[0], "m1/a1")[0] == 200)
+    for turn in range(2):
+        leader = max((d for d in daemons if d.events("term begins")),
+                     key=lambda d: max(x["term"] for x in
+                                       d.events("term begins")))
+        before = max(terms(daemons))
+        if turn == 0:
+            leader.kill()
+        else:
+            leader.signal(15)
+        left = [d for d in daemons if d is not leader]
+        wait("another term", lambda: max(terms(daemons)) > before)
+        daemons = left if len(left) > 1 else daemons
+        wait("adapter %d" % turn, lambda: ask(
+            left[0], "m1/a%d" % (turn + 2))[0] == 200)
+    for up in ups:
+        fences = [x["fencingToken"] for x in up.orders]
+        check(fences == sorted(fences), "fences %s", fences)
+        holders = {}
+        for x in up.orders:
+            holders.setdefault(x["fencingToken"], set()).add(x["holder"])
+        check(all(len(x) == 1 for x in holders.values()), "%s", holders)
+
+
+@case
+def state_frozen_planner(world):
+    """A planner that froze past its lease gives no order when it wakes up."""
+    _, ups, daemons = engines(world, [{"m1": set()}, {"m2": set()}], 2)
+    wait("a planner", lambda: terms(daemons))
+    leader = next(d for d in daemons if d.events("term begins"))
+    other = next(d for d in daemons if d is not leader)
+    wait("an adapter", lambda: ask(other, "m1/a1")[0] == 200)
+    leader.freeze()
+    wait("another term", lambda: other.events("term begins"))
+    time.sleep(0.2)
+    leader.thaw()
+    wait("it notices", lambda: leader.events("term ends"))
+    wait("an adapter", lambda: ask(other, "m1/a2")[0] == 200)
+    for up in ups:
+        fences = [x["fencingToken"] for x in up.orders]
+        check(fences == sorted(fences), "fences %s", fences)
+
+
+@case
+def state_peers_spread_news(world):
+    """A daemon whose feed is silent learns of a change from another one, and
+    a daemon that leaves tells that it does."""
+    store, ups, front = serve(world, 2)
+    blind = Store()
+    for row in (("op", "config"),):
+        blind.put(*row, store.value(*row))
+    for up in ups:
+        blind.put("servers", up.id, store.value("servers", up.id))
+    # the second one reads another copy, in which the change comes without
+    # a word by its feed
+    blind.put("members", front.name, front.peers.encode())
+    second = Front(world, blind, "front-2")
+    second.await_ready()
+    wait("they hear each other", lambda: front.events("peer heard") and
+         second.events("peer heard"))
+    blind.act = (lambda path, query, body, act=blind.act:
+                 (200, {"rows": [], "ver": 0, "nowMs": 0})
+                 if path == "/api/rows-feed" and not time.sleep(0.3)
+                 else act(path, query, body))
+    configure(store, 7, [route("new", "safe")])
+    configure(blind, 7, [route("new", "safe")])
+    wait("the second one has it", lambda: any(
+        x["version"] == 7 for x in second.events("configuration")))
+    check(second.events("behind another daemon"), "not told by the other")
+    ups[0].register(state="draining")
+    wait("the second one avoids it", lambda: any(
+        x["id"] == "i-0" and x["is"] == "leaving"
+        for x in second.events("upstream")))
+
+
+@case
+def state_all_killed(world):
+    """All daemons are killed at once while the store is away: they serve again
+    once it is back, from the store alone."""
+    store, ups, daemons = engines(world, [{"m1": {"a1"}}, {"m2": set()}], 2)
+    check(ask(daemons[0], "m1/a1")[0] == 200, "served")
+    store.refuse = 503
+    for daemon in daemons:
+        daemon.kill()
+    again = [Front(world, store, "front-%d" % n) for n in range(2)]
+    wait("they run", lambda: all(x.events("start") for x in again))
+    with contextlib.suppress(OSError):
+        check(request(again[0].ops, "GET", "/api/readiness")[0] == 503,
+              "ready without a configuration")
+    store.refuse = None
+    for daemon in again:
+        daemon.await_ready()
+    check(ask(again[0], "m1/a1")[0] == 200, "served again")
+    wait("a planner", lambda: terms(again))
+
+
+@case
+def state_waiting_is_told(world):
+    """What no engine can serve in time is refused as not run, with a time to
+    come back; nothing of it runs."""
+    _, ups, (front,) = engines(world, [{"m1": set()}])
+    ups[0].models = {}
+    ups[0].register()
+    wait("a planner", lambda: terms([front]))
+    play(ups[0])
+    code, fields, _, _ = ask(front, "unknown", X_Deadline_Ms="1000")
+    check(code == 503 and float(fields["retry-after"]) > 0, "%s", code)
+    check(not runs(ups), "it ran")
