--- a/include/bk/entry/entry.h
+++ b/include/bk/entry/entry.h
@@ -11,6 +11,7 @@
 #define BK_ENTRY_ENTRY_H
 
 #include "bk/base/counters.h"
+#include "bk/base/latency.h"
 #include "bk/claim/claim.h"
 #include "bk/daemon/daemon.h"
 #include "bk/entry/ticket.h"
@@ -50,19 +51,6 @@
 /* Combinations that no single key shows. ERRORS: BK_ECONFIG. */
 BkStatus BkEntry_CheckConf(const BkEntryConf *conf);
 
-enum {
-    BK_LATENCY_BUCKETS = 12
-};
-
-/* Counters bk_NAME_total{le="..."} and their sum in milliseconds. */
-typedef struct BkLatency {
-    BkCounter *buckets[BK_LATENCY_BUCKETS];
-    BkCounter *sum;
-} BkLatency;
-
-BkLatency BkLatency_Get(const char *name, const char *help);
-void BkLatency_Note(BkLatency *latency, BkMs span);
-
 typedef struct BkEntryCounters {
     BkLatency first_byte;
     BkLatency between_tokens;
--- a/src/daemon/args.c
+++ b/src/daemon/args.c
@@ -1,8 +1,8 @@
-#include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "bk/base/args.h"
 #include "bk/base/log.h"
 #include "bk/daemon/daemon.h"
 
@@ -66,46 +66,6 @@
     return all;
 }
 
-typedef struct Args {
-    const char *config;
-    bool check_only;
-} Args;
-
-enum {
-    OPT_CHECK = 256
-};
-
-static const struct argp_option options[] = {
-    {"config", 'c', "FILE", 0, "settings file", 0},
-    {"check-config", OPT_CHECK, NULL, 0, "check the settings and exit", 0},
-    {0},
-};
-
-static error_t
-parse_option(int key, char *value, struct argp_state *state)
-{
-    Args *args = state->input;
-
-    switch (key) {
-    case 'c':
-        args->config = value;
-        return 0;
-    case OPT_CHECK:
-        args->check_only = true;
-        return 0;
-    case ARGP_KEY_ARG:
-        argp_error(state, "unexpected argument \"%s\"", value);
-        return 0;
-    case ARGP_KEY_END:
-        if (args->config == NULL) {
-            argp_error(state, "--config FILE is needed");
-        }
-        return 0;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-}
-
 static BkStatus
 check_daemon(const char *path, const BkDaemonConf *conf)
 {
@@ -137,15 +97,9 @@
                    const BkSettingSpec *specs, int spec_count, BkCheckFn check,
                    void *settings)
 {
-    char version[64];
-    Args args = {0};
-    struct argp argp = {options, parse_option, NULL, doc, NULL, NULL, NULL};
+    BkArgs args = BkArgs_Parse(argc, argv, program, doc);
     BkDaemonConf *conf = settings;
 
-    snprintf(version, sizeof(version), "%s %s", program, BK_VERSION);
-    argp_program_version = version;
-    argp_err_exit_status = BK_EUSAGE;
-    argp_parse(&argp, argc, argv, 0, NULL, &args);
     BkStatus status =
         BkSettings_Load(args.config, specs, spec_count, settings);
     if (status == BK_OK) {
--- a/src/front/metrics.c
+++ b/src/front/metrics.c
@@ -1,15 +1,12 @@
 #include <stdio.h>
 
+#include "bk/base/latency.h"
 #include "front.h"
 
 enum {
-    BUCKETS = 9
+    LABEL_BYTES = 320
 };
 
-/* upper bounds in ms; the last bucket takes all */
-static const BkMs bounds[BUCKETS] = {25,   50,   100,  250,        500,
-                                     1000, 2500, 5000, BK_MS_NEVER};
-
 FrMetrics
 FrMetrics_Get(void)
 {
@@ -34,30 +31,18 @@
 static void
 note_latency(const FrRelay *relay, BkMs span)
 {
-    char labels[320];
+    char labels[LABEL_BYTES];
 
-    for (int i = 0; i < BUCKETS; i++) {
-        if (span > bounds[i]) {
-            continue;
-        }
-        if (bounds[i] == BK_MS_NEVER) {
-            snprintf(labels, sizeof(labels), "route=\"%.200s\",le=\"+Inf\"",
-                     relay->route);
-        }
-        else {
-            snprintf(labels, sizeof(labels), "route=\"%.200s\",le=\"%lld\"",
-                     relay->route, (long long)bounds[i]);
-        }
-        BkCounter_Add(BkCounter_Get("bk_front_first_byte_total", labels,
-                                    "answers by ms to their first byte"),
-                      1);
-    }
+    snprintf(labels, sizeof(labels), "route=\"%.200s\",", relay->route);
+    BkLatency latency = BkLatency_Get("bk_front_first_byte", labels,
+                                      "answers by ms to their first byte");
+    BkLatency_Note(&latency, span);
 }
 
 void
 FrMetrics_NoteAnswer(const FrRelay *relay, int code)
 {
-    char labels[320];
+    char labels[LABEL_BYTES];
 
     snprintf(labels, sizeof(labels), "route=\"%.200s\",code=\"%d\"",
              relay->route, code);
--- a/src/site/site.c
+++ b/src/site/site.c
@@ -162,50 +162,32 @@
     return NULL;
 }
 
+static int
+match_service(const void *name, const void *service)
+{
+    return strcmp(name, ((const BkSiteService *)service)->name);
+}
+
 const BkSiteService *
 BkSite_FindService(const BkSite *site, const char *name)
 {
-    int low = 0;
-    int high = site->service_count;
+    return bsearch(name, site->services, (size_t)site->service_count,
+                   sizeof(*site->services), match_service);
+}
 
-    while (low < high) {
-        int middle = (low + high) / 2;
-        int order = strcmp(site->services[middle].name, name);
-        if (order == 0) {
-            return &site->services[middle];
-        }
-        if (order < 0) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return NULL;
+static int
+match_model(const void *name, const void *model)
+{
+    return BkStr_Compare(*(const BkStr *)name,
+                         BkStr_FromC(((const BkSiteModel *)model)->name));
 }
 
 const BkSiteModel *
 BkSite_FindModel(const BkSiteEngine *engine, BkStr name)
 {
-    int low = 0;
-    int high = engine->model_count;
-
     name = BkStr_Split(&name, '/');
-    while (low < high) {
-        int middle = (low + high) / 2;
-        int order =
-            BkStr_Compare(BkStr_FromC(engine->models[middle].name), name);
-        if (order == 0) {
-            return &engine->models[middle];
-        }
-        if (order < 0) {
-            low = middle + 1;
-        }
-        else {
-            high = middle;
-        }
-    }
-    return NULL;
+    return bsearch(&name, engine->models, (size_t)engine->model_count,
+                   sizeof(*engine->models), match_model);
 }
 
 const BkSiteModel *
