sync: a few daemons read the store for all

Three readers follow the store now and pass changes on; the others call only when they are behind, or hear no reader for a second.

Requests for an adapter no longer go to engines that carry an order out.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -63,6 +63,7 @@
     int model_count;
     uint32_t closing;   /* model that is about to be unloaded; 0: none */
     BkMs closing_until; /* then reports are believed again */
+    BkMs ordered_until; /* it carries an order out, and takes no other */
     BkUpAdapter adapters[BK_UP_MAX_ADAPTERS];
     int adapter_count;
     uint32_t in_memory[BK_UP_MAX_AT_HAND];
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -21,6 +21,8 @@
 #define BKP_MAX_USES 64
 #define BKP_MAX_CHANGES 32
 #define BKP_MAX_BEGUN 64
+#define BKP_MAX_ROWS 8
+#define BKP_ROW_BYTES 1400
 
 struct bkp_load {
 	u_int up;
@@ -135,6 +137,30 @@
 };
 typedef struct bkp_changes bkp_changes;
 
+struct bkp_row {
+	char *key;
+	u_quad_t revision;
+	int gone;
+	struct {
+		u_int value_len;
+		char *value_val;
+	} value;
+};
+typedef struct bkp_row bkp_row;
+
+struct bkp_reports {
+	char *name;
+	u_quad_t before;
+	u_quad_t revision;
+	u_quad_t site;
+	int ill;
+	struct {
+		u_int rows_len;
+		bkp_row *rows_val;
+	} rows;
+};
+typedef struct bkp_reports bkp_reports;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 1
 
@@ -151,6 +177,9 @@
 #define BKP_CHANGES 4
 extern  void * bkp_changes_1(bkp_changes *, CLIENT *);
 extern  void * bkp_changes_1_svc(bkp_changes *, struct svc_req *);
+#define BKP_REPORTS 5
+extern  void * bkp_reports_1(bkp_reports *, CLIENT *);
+extern  void * bkp_reports_1_svc(bkp_reports *, struct svc_req *);
 extern int bkp_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -166,6 +195,9 @@
 #define BKP_CHANGES 4
 extern  void * bkp_changes_1();
 extern  void * bkp_changes_1_svc();
+#define BKP_REPORTS 5
+extern  void * bkp_reports_1();
+extern  void * bkp_reports_1_svc();
 extern int bkp_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -183,6 +215,8 @@
 extern  bool_t xdr_bkp_change_kind (XDR *, bkp_change_kind*);
 extern  bool_t xdr_bkp_change (XDR *, bkp_change*);
 extern  bool_t xdr_bkp_changes (XDR *, bkp_changes*);
+extern  bool_t xdr_bkp_row (XDR *, bkp_row*);
+extern  bool_t xdr_bkp_reports (XDR *, bkp_reports*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -196,6 +230,8 @@
 extern bool_t xdr_bkp_change_kind ();
 extern bool_t xdr_bkp_change ();
 extern bool_t xdr_bkp_changes ();
+extern bool_t xdr_bkp_row ();
+extern bool_t xdr_bkp_reports ();
 
 #endif /* K&R C */
 
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -4,6 +4,7 @@
 
 #include "bk/base/log.h"
 #include "planner.h"
+#include "sync.h"
 
 /* Carries out what the lease asks for, against the table "planner": the row
    "term" names the holder, "beat" is written at each renewal. */
@@ -139,6 +140,9 @@
     BkLease *lease = &planner->lease;
     BkMs now = BkClock_Now();
 
+    FrSync_NoteStore(planner->front->sync,
+                     reply->status == BK_OK || reply->status == BK_ECONFLICT,
+                     now);
     switch (reply->status) {
     case BK_OK:
         if (now < lease->sent_at + lease->conf.hold) {
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -8,7 +8,8 @@
 
 enum {
     READ_SOON = 1500,   /* ms after the own row was written */
-    READ_EVERY = 10000, /* ms */
+    READ_EVERY = 60000, /* ms; daemons tell each other of new ones */
+    READ_ALONE = 3000,  /* ms, while none or not all are heard */
     AGAIN = 700,        /* ms after a call that failed, and up to twice that */
     CALL_LIMIT = 1000   /* ms */
 };
@@ -38,7 +39,8 @@
             FrPeers_Add(peers, row->key, row->value);
         }
     }
-    peers->row_at = BkClock_Now() + READ_EVERY;
+    peers->row_at =
+        BkClock_Now() + (FrPeers_AnyUnheard(peers) ? READ_ALONE : READ_EVERY);
 }
 
 static void
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -7,15 +7,19 @@
 #include "bk/base/log.h"
 #include "bk/net/datagram.h"
 #include "planner.h"
+#include "sync.h"
 
 enum {
-    PERIOD = 100,         /* ms between rounds */
-    TOLD_A_ROUND = 7,     /* peers, so that the cost does not grow with them */
-    QUIET_EVERY = 10,     /* rounds, when there is no load to tell */
-    LOADS_STALE = 2000,   /* ms of silence until a peer's loads are dropped */
-    HEARD_LATELY = 5000,  /* ms */
-    PLANNER_SILENT = 700, /* ms; it speaks every round */
-    UNHEARD_EVERY = 10    /* rounds between words to one that is silent */
+    PERIOD = 100,        /* ms between rounds */
+    TOLD_A_ROUND = 7,    /* peers, so that the cost does not grow with them */
+    QUIET_EVERY = 10,    /* rounds, when there is no load to tell */
+    LOADS_STALE = 2000,  /* ms of silence until a peer's loads are dropped */
+    HEARD_LATELY = 5000, /* ms */
+    PLANNER_EVERY = 4,   /* rounds between the planner's words to all */
+    PLANNER_SILENT = 1000, /* ms until it is taken as gone */
+    READER_LATELY = 3000,  /* ms; each is heard every second at the least, as
+                             long as there are no more than seventy */
+    UNHEARD_EVERY = 10     /* rounds between words to one that is silent */
 };
 
 void
@@ -93,6 +97,17 @@
     return peer->heard != BK_MS_NEVER && now - peer->heard < HEARD_LATELY;
 }
 
+bool
+FrPeers_AnyUnheard(const FrPeers *peers)
+{
+    for (int i = 0; i < peers->count; i++) {
+        if (peers->list[i]->heard == BK_MS_NEVER) {
+            return true;
+        }
+    }
+    return peers->count == 0;
+}
+
 bool
 FrPeers_HasPlanner(const FrPeers *peers, BkMs now)
 {
@@ -112,6 +127,23 @@
     return false;
 }
 
+int
+FrPeers_CountReadersBefore(const FrPeers *peers, BkMs now)
+{
+    BkStr own = BkStr_FromC(peers->front->conf.name);
+    uint32_t key = BkStr_Key(own);
+    int count = 0;
+
+    for (int i = 0; i < peers->count; i++) {
+        const FrPeer *peer = peers->list[i];
+        count += peer->store && !peer->stopping &&
+                 peer->heard != BK_MS_NEVER &&
+                 now - peer->heard < READER_LATELY &&
+                 BkStr_Key(BkStr_FromC(peer->name)) < key;
+    }
+    return count;
+}
+
 int
 FrPeers_Count(const FrPeers *peers)
 {
@@ -340,6 +372,14 @@
     FrQueue_WakeSoon(front, 0);
 }
 
+static void
+take_reports(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrRelayed_Take(peers->front->sync, message, BkClock_Now());
+}
+
 static void
 take_demands(const void *message, const char *from, void *arg)
 {
@@ -375,6 +415,8 @@
     {BKP_DEMANDS, "demands", (xdrproc_t)xdr_bkp_demands, sizeof(bkp_demands),
      take_demands},
     {BKP_NEWS, "news", (xdrproc_t)xdr_bkp_news, sizeof(bkp_news), take_news},
+    {BKP_REPORTS, "reports", (xdrproc_t)xdr_bkp_reports, sizeof(bkp_reports),
+     take_reports},
     {BKP_WISH, "wish", (xdrproc_t)xdr_bkp_wish, sizeof(bkp_wish), take_wish},
 };
 
@@ -402,11 +444,16 @@
     BkMs now = BkClock_Now();
 
     peers->round++;
-    if (peers->count > 0) {
+    if (FrPlanner_IsActive(peers->front->planner, now) &&
+        peers->round % PLANNER_EVERY == 0) {
+        FrPeers_TellAll(peers);
+    }
+    else if (peers->count > 0) {
         tell_some(peers, now);
     }
     drop_silent(peers, now);
     FrMembers_Step(peers, now);
+    FrRelayed_Round(peers->front->sync, now);
     BkTimer_Start(peers->timer, PERIOD);
 }
 
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -62,9 +62,16 @@
 /* Whether there is a planner: this daemon, or one that was heard lately. */
 bool FrPeers_HasPlanner(const FrPeers *peers, BkMs now);
 
+/* Whether none is known, or one was never heard. */
+bool FrPeers_AnyUnheard(const FrPeers *peers);
+
 /* Whether any daemon heard of lately says that the store answers it. */
 bool FrPeers_AnySeesStore(const FrPeers *peers, BkMs now);
 
+/* Daemons heard of that the store answers, and that come before this one in
+ * an order that all agree on. */
+int FrPeers_CountReadersBefore(const FrPeers *peers, BkMs now);
+
 /* Daemons known, this one included. */
 int FrPeers_Count(const FrPeers *peers);
 
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -111,10 +111,12 @@
         switch (row->kind) {
         case BKP_MODEL_HELD:
             up->closing = up->closing == row->model ? 0 : up->closing;
+            up->ordered_until = 0;
             BkUp_SetModel(up, row->model, true);
             break;
         case BKP_MODEL_CLOSING:
             BkUp_CloseModel(up, row->model, now + closed_for);
+            up->ordered_until = now + UNLOAD_TIME;
             break;
         case BKP_ADAPTER_HELD:
             BkUp_SetAdapter(up, row->model, row->adapter, true);
@@ -124,6 +126,7 @@
             break;
         case BKP_MODEL_COMING:
             FrComing_Note(front, row->model, now + row->eta);
+            up->ordered_until = now + row->eta;
             break;
         }
     }
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -1,12 +1,15 @@
+#include "sync.h"
+
 #include <stdlib.h>
 #include <string.h>
 
 #include "bk/base/log.h"
-#include "front.h"
 #include "peers.h"
 
-/* One for each of the two tables that others write: read whole, then follow
-   the feed; whole again when the feed lost its history. */
+/* One follower for each of the two tables that others write. A reader reads
+   its table whole, then follows the feed, and reads whole again when the feed
+   lost its history. A daemon that is no reader only calls when it is behind:
+   relayed.c takes what readers pass on. */
 
 enum {
     FEED_WAIT = 1500,  /* ms; a connection that went silent shows within it */
@@ -14,50 +17,21 @@
     READ_LIMIT = 1500, /* ms for a whole list */
     PAUSE_FIRST = 60,  /* ms before a call that failed is made again */
     PAUSE_MOST = 600,  /* ms, doubled from the first on */
+    SLOW_ANSWER = 400, /* ms; an answer later than this is a sign of illness */
     HURRY_AGAIN = 300, /* ms between two hurries */
-    FEED_LAG = 250,    /* ms that feeds of two daemons may differ */
-    SLOW_ANSWER = 400  /* ms; an answer later than this is a sign of illness */
-};
-
-typedef enum Topic {
-    TOPIC_SITE,
-    TOPIC_REPORTS,
-    TOPIC_COUNT
-} Topic;
-
-typedef struct Follower {
-    FrSync *sync;
-    Topic topic;
-    const char *table;
-    uint64_t version; /* of the store, taken in */
-    bool whole;       /* a list has been read; the feed may go on */
-    bool busy;
-    bool listing; /* further parts of a list are on the way */
-    char *from;   /* of the next part */
-    BkMs called_at;
-    BkMs pause;
-    BkTimer *timer;
-    BkMs hurried_at;
-    BkMs behind_at; /* since when another daemon knows more; 0: none does */
-    uint64_t call;  /* number of the newest call; others' answers are void */
-} Follower;
-
-struct FrSync {
-    FrFront *front;
-    Follower followers[TOPIC_COUNT];
-    bool ill; /* the last call of either failed */
+    HURRY_SPREAD = 120 /* ms; daemons that hear the same do not call at once */
 };
 
 /* a call, remembered so that an answer after a hurry is told apart */
 typedef struct Call {
-    Follower *follower;
+    FrFollower *follower;
     uint64_t number;
 } Call;
 
-static void make_call(Follower *follower);
+static void make_call(FrFollower *follower);
 
 static void
-call_again(Follower *follower, BkMs after)
+call_again(FrFollower *follower, BkMs after)
 {
     BkTimer_Start(follower->timer, after);
 }
@@ -68,6 +42,15 @@
     make_call(arg);
 }
 
+/* the next call, if there is any need of one */
+static void
+go_on(FrFollower *follower)
+{
+    if (!follower->whole || follower->sync->reader) {
+        call_again(follower, 0);
+    }
+}
+
 static void
 take_site(FrFront *front, const BkStoreRow *row)
 {
@@ -78,9 +61,8 @@
     BkSite *site = BkAdapter_DecodeSite(row->value);
     if (site == NULL) {
         BK_LOG(BK_LOG_ERR, "sync", NULL,
-               "%s; version %llu of the row is "
-               "left out",
-               BkErr_Last(), (unsigned long long)row->version);
+               "%s; version %llu of the row is left out", BkErr_Last(),
+               (unsigned long long)row->version);
         return;
     }
     if (front->site != NULL && site->version <= front->site->version) {
@@ -97,8 +79,8 @@
     FrQueue_WakeSoon(front, 0);
 }
 
-static void
-take_report(FrFront *front, const BkStoreRow *row, BkMs now)
+void
+FrSync_TakeReport(FrFront *front, const BkStoreRow *row, BkMs now)
 {
     BkUpReport report;
 
@@ -121,47 +103,43 @@
 }
 
 static void
-take_rows(Follower *follower, const BkStoreReply *reply, BkMs now)
+take_rows(FrFollower *follower, const BkStoreReply *reply, BkMs now)
 {
     FrFront *front = follower->sync->front;
 
     for (int i = 0; i < reply->count; i++) {
         switch (follower->topic) {
-        case TOPIC_SITE:
+        case FR_TOPIC_SITE:
             take_site(front, &reply->rows[i]);
             break;
-        case TOPIC_REPORTS:
-            take_report(front, &reply->rows[i], now);
+        case FR_TOPIC_REPORTS:
+            FrSync_TakeReport(front, &reply->rows[i], now);
             break;
-        case TOPIC_COUNT:
+        case FR_TOPIC_COUNT:
             break;
         }
     }
     FrQueue_WakeSoon(front, 0);
 }
 
-static void
-note_health(Follower *follower, bool good, BkMs now)
+void
+FrSync_NoteStore(FrSync *sync, bool good, BkMs now)
 {
-    FrSync *sync = follower->sync;
-
     if (!good) {
         BkFleet_NoteStoreIll(&sync->front->fleet, now);
     }
     if (sync->ill == !good) {
         return;
     }
-    if (!good || follower->pause == 0) {
-        sync->ill = !good;
-        BkLog_Event(BK_LOG_NOTICE, "sync", NULL,
-                    good ? "store regained" : "store lost", "s:s, s:I",
-                    "table", follower->table, "version",
-                    (json_int_t)follower->version);
-    }
+    sync->ill = !good;
+    BkLog_Event(BK_LOG_NOTICE, "sync", NULL,
+                good ? "store regained" : "store lost", "s:I, s:I", "site",
+                (json_int_t)sync->followers[FR_TOPIC_SITE].version, "reports",
+                (json_int_t)sync->followers[FR_TOPIC_REPORTS].version);
 }
 
 static void
-fail_call(Follower *follower, BkStatus status, BkMs now)
+fail_call(FrFollower *follower, BkStatus status, BkMs now)
 {
     BkMs pause = follower->pause;
 
@@ -171,25 +149,25 @@
         call_again(follower, 0);
         return;
     }
-    note_health(follower, false, now);
+    FrSync_NoteStore(follower->sync, false, now);
     pause = pause == 0 ? PAUSE_FIRST : pause * 2;
     follower->pause = pause < PAUSE_MOST ? pause : PAUSE_MOST;
+    follower->failed = true;
     call_again(follower, follower->pause / 2 +
                              (BkMs)BkRng_Below(&follower->sync->front->rng,
                                                (uint32_t)follower->pause));
 }
 
-/* a part of a list came; true if it was the last one */
-static bool
-take_list(Follower *follower, const BkStoreReply *reply, BkMs now)
+/* a part of a list came */
+static void
+take_list(FrFollower *follower, const BkStoreReply *reply, BkMs now)
 {
     FrFront *front = follower->sync->front;
 
     if (reply->version < follower->version) {
-        /* an answer from before what is known already */
-        return true;
+        return; /* an answer from before what is known already */
     }
-    if (follower->topic == TOPIC_REPORTS && !follower->listing) {
+    if (follower->topic == FR_TOPIC_REPORTS && !follower->listing) {
         BkFleet_BeginList(&front->fleet);
     }
     take_rows(follower, reply, now);
@@ -198,21 +176,33 @@
         /* the next part begins with the last key of this one */
         free(follower->from);
         follower->from = BkStr_Dup(reply->rows[reply->count - 1].key);
-        return false;
+        return;
     }
-    if (follower->topic == TOPIC_REPORTS) {
+    if (follower->topic == FR_TOPIC_REPORTS) {
         BkFleet_EndList(&front->fleet, reply->version, now);
     }
     follower->whole = true;
     follower->version = reply->version;
-    return true;
+}
+
+static void
+take_feed(FrFollower *follower, const BkStoreReply *reply, BkMs now)
+{
+    take_rows(follower, reply, now);
+    if (reply->version > follower->version) {
+        follower->version = reply->version;
+    }
+    if (follower->topic == FR_TOPIC_REPORTS && reply->count > 0 &&
+        follower->sync->reader) {
+        FrRelayed_PassOn(follower->sync, reply, follower->after);
+    }
 }
 
 static void
 take_reply(const BkStoreReply *reply, void *arg)
 {
     Call call = *(Call *)arg;
-    Follower *follower = call.follower;
+    FrFollower *follower = call.follower;
     BkMs now = BkClock_Now();
 
     free(arg);
@@ -224,23 +214,21 @@
         fail_call(follower, reply->status, now);
         return;
     }
+    BkMs late = now - follower->called_at - follower->wait;
+    FrSync_NoteStore(follower->sync, late < SLOW_ANSWER, now);
     follower->pause = 0;
-    BkMs late = now - follower->called_at - (follower->whole ? FEED_WAIT : 0);
-    note_health(follower, late < SLOW_ANSWER, now);
-    if (!follower->whole) {
-        take_list(follower, reply, now);
-        call_again(follower, 0);
-        return;
+    follower->failed = false;
+    if (follower->whole) {
+        take_feed(follower, reply, now);
     }
-    take_rows(follower, reply, now);
-    if (reply->version > follower->version) {
-        follower->version = reply->version;
+    else {
+        take_list(follower, reply, now);
     }
-    call_again(follower, 0);
+    go_on(follower);
 }
 
 static void
-make_call(Follower *follower)
+make_call(FrFollower *follower)
 {
     BkStore *store = follower->sync->front->store;
     Call *call = BkMem_New(1, sizeof(*call));
@@ -249,9 +237,12 @@
     *call = (Call){follower, follower->call};
     follower->busy = true;
     follower->called_at = BkClock_Now();
+    follower->after = follower->version;
+    /* one that is only behind does not wait for further changes */
+    follower->wait = follower->whole && follower->sync->reader ? FEED_WAIT : 0;
     if (follower->whole) {
-        BkStore_Feed(store, follower->table, follower->version, FEED_WAIT,
-                     FEED_WAIT + CALL_LIMIT, take_reply, call);
+        BkStore_Feed(store, follower->table, follower->version, follower->wait,
+                     follower->wait + CALL_LIMIT, take_reply, call);
     }
     else {
         BkStore_Read(store, follower->table,
@@ -264,14 +255,15 @@
 FrSync_Create(FrFront *front)
 {
     FrSync *sync = BkMem_New(1, sizeof(*sync));
-    const char *tables[TOPIC_COUNT] = {BkAdapter_SiteTable(),
-                                       BkAdapter_ReportTable()};
+    const char *tables[FR_TOPIC_COUNT] = {BkAdapter_SiteTable(),
+                                          BkAdapter_ReportTable()};
 
     sync->front = front;
-    for (int i = 0; i < TOPIC_COUNT; i++) {
-        Follower *follower = &sync->followers[i];
+    sync->reader = true; /* until another one is heard */
+    for (int i = 0; i < FR_TOPIC_COUNT; i++) {
+        FrFollower *follower = &sync->followers[i];
         follower->sync = sync;
-        follower->topic = (Topic)i;
+        follower->topic = (FrTopic)i;
         follower->table = tables[i];
         follower->timer = BkTimer_Create(front->loop, on_timer, follower);
         call_again(follower, 0);
@@ -285,28 +277,52 @@
     if (sync == NULL) {
         return;
     }
-    for (int i = 0; i < TOPIC_COUNT; i++) {
+    for (int i = 0; i < FR_TOPIC_COUNT; i++) {
         BkTimer_Destroy(sync->followers[i].timer);
         free(sync->followers[i].from);
     }
     free(sync);
 }
 
-/* The present call may hang, or its feed be silent: its answer is void, and
-   all is read again. */
-static void
-hurry(Follower *follower, BkMs now)
+void
+FrSync_SetReader(FrSync *sync, bool reader)
+{
+    if (sync->reader == reader) {
+        return;
+    }
+    BkLog_Event(BK_LOG_INFO, "sync", NULL, "reader", "s:b, s:I", "is", reader,
+                "reports",
+                (json_int_t)sync->followers[FR_TOPIC_REPORTS].version);
+    sync->reader = reader;
+    for (int i = 0; i < FR_TOPIC_COUNT; i++) {
+        if (reader && !sync->followers[i].busy) {
+            call_again(&sync->followers[i], 0);
+        }
+    }
+    if (!reader) {
+        sync->ill = false; /* the readers know */
+    }
+}
+
+void
+FrSync_Hurry(FrSync *sync, FrTopic topic, bool all, BkMs now)
 {
-    if (now - follower->hurried_at < HURRY_AGAIN) {
+    FrFollower *follower = &sync->followers[topic];
+
+    if (now - follower->hurried_at < HURRY_AGAIN || follower->failed) {
         return;
     }
-    BkLog_Event(BK_LOG_NOTICE, "sync", NULL, "behind another daemon",
-                "s:s, s:I", "table", follower->table, "version",
+    BkLog_Event(BK_LOG_INFO, "sync", NULL, "behind another daemon", "s:s, s:I",
+                "table", follower->table, "version",
                 (json_int_t)follower->version);
     follower->hurried_at = now;
-    follower->whole = false;
-    follower->listing = false;
-    call_again(follower, 0);
+    if (all || sync->reader) {
+        /* the present call may hang, or its feed be silent: its answer is
+           void, and all is read again */
+        follower->whole = false;
+        follower->listing = false;
+    }
+    call_again(follower, (BkMs)BkRng_Below(&sync->front->rng, HURRY_SPREAD));
 }
 
 bool
@@ -314,23 +330,3 @@
 {
     return sync == NULL || sync->ill;
 }
-
-void
-FrSync_TakeNews(FrSync *sync, uint64_t site, uint64_t reports, BkMs now)
-{
-    const FrFront *front = sync->front;
-    Follower *list = &sync->followers[TOPIC_REPORTS];
-
-    if (site > (front->site == NULL ? 0 : front->site->version)) {
-        hurry(&sync->followers[TOPIC_SITE], now);
-    }
-    if (reports <= list->version) {
-        list->behind_at = 0;
-    }
-    else if (list->behind_at == 0) {
-        list->behind_at = now;
-    }
-    else if (now - list->behind_at >= FEED_LAG) {
-        hurry(list, now);
-    }
-}
--- /dev/null
+++ b/src/front/sync.h
@@ -0,0 +1,68 @@
+/*
+ * sync - what the store tells, first hand or by other daemons
+ *
+ * A few daemons, the readers, follow the store; the others take from them
+ * what has changed, so that the store's calls do not grow with the number of
+ * daemons. Which ones are readers follows from who is heard (relayed.c); one
+ * that hears no reader for a second becomes one.
+ */
+#ifndef BK_FRONT_SYNC_H
+#define BK_FRONT_SYNC_H
+
+#include "bk/peer/gen/peer_xdr.h"
+#include "front.h"
+
+typedef enum FrTopic {
+    FR_TOPIC_SITE,
+    FR_TOPIC_REPORTS,
+    FR_TOPIC_COUNT
+} FrTopic;
+
+typedef struct FrFollower {
+    FrSync *sync;
+    FrTopic topic;
+    const char *table;
+    uint64_t version; /* of the store, taken in */
+    uint64_t after;   /* version that the present call asks from */
+    bool whole;       /* a list has been read; the feed may go on */
+    bool busy;        /* a call is under way */
+    bool failed;      /* the last one; another one is on its way */
+    bool listing;     /* further parts of a list are on the way */
+    char *from;       /* of the next part */
+    BkMs called_at;
+    BkMs wait; /* that the call asked for */
+    BkMs pause;
+    BkMs hurried_at;
+    BkMs behind_at; /* since when another daemon knows more; 0: none does */
+    BkTimer *timer;
+    uint64_t call; /* number of the newest call; others' answers are void */
+} FrFollower;
+
+struct FrSync {
+    FrFront *front;
+    FrFollower followers[FR_TOPIC_COUNT];
+    bool reader;
+    bool ill;          /* the store failed the last call, or was late */
+    BkMs relayed_at;   /* when a reader was heard */
+    BkMs passed_on_at; /* as a reader: when others were told */
+};
+
+/* A row of the reports' table. */
+void FrSync_TakeReport(FrFront *front, const BkStoreRow *row, BkMs now);
+
+/* A call of the store went well or not. */
+void FrSync_NoteStore(FrSync *sync, bool good, BkMs now);
+void FrSync_SetReader(FrSync *sync, bool reader);
+
+/* Another daemon knows more: asks the store for what changed, or for all. */
+void FrSync_Hurry(FrSync *sync, FrTopic topic, bool all, BkMs now);
+
+/* relayed.c: passes changes on, and takes those of other readers. */
+void FrRelayed_PassOn(FrSync *sync, const BkStoreReply *reply,
+                      uint64_t before);
+void FrRelayed_Take(FrSync *sync, const bkp_reports *reports, BkMs now);
+
+/* Chooses whether to be a reader, and gives a sign of life as one. */
+void FrRelayed_Round(FrSync *sync, BkMs now);
+
+#endif
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -187,3 +187,40 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_row (XDR *xdrs, bkp_row *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->key, BKP_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->gone))
+		 return FALSE;
+	 if (!xdr_bytes (xdrs, (char **)&objp->value.value_val, (u_int *) &objp->value.value_len, BKP_ROW_BYTES))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_reports (XDR *xdrs, bkp_reports *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->before))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->site))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->ill))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_ROWS,
+		sizeof (bkp_row), (xdrproc_t) xdr_bkp_row))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -11,6 +11,8 @@
 const BKP_MAX_USES = 64;
 const BKP_MAX_CHANGES = 32;
 const BKP_MAX_BEGUN = 64;
+const BKP_MAX_ROWS = 8;
+const BKP_ROW_BYTES = 1400;
 
 struct bkp_load {
     unsigned int up;
@@ -98,11 +100,31 @@
     bkp_change rows<BKP_MAX_CHANGES>;
 };
 
+struct bkp_row {
+    string key<BKP_NAME>;
+    unsigned hyper revision;
+    int gone;
+    opaque value<BKP_ROW_BYTES>;
+};
+
+/* what a daemon that follows the store passes on: the changes of reports
+   after the revision before, up to revision; also without any, as a sign of
+   life */
+struct bkp_reports {
+    string name<BKP_NAME>;
+    unsigned hyper before;
+    unsigned hyper revision;
+    unsigned hyper site;          /* version of the configuration in force */
+    int ill;                      /* the store was away a moment ago */
+    bkp_row rows<BKP_MAX_ROWS>;
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_NEWS(bkp_news) = 1;
         void BKP_DEMANDS(bkp_demands) = 2;
         void BKP_WISH(bkp_wish) = 3;
         void BKP_CHANGES(bkp_changes) = 4;
+        void BKP_REPORTS(bkp_reports) = 5;
     } = 1;
 } = 0x20426b02;
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -3,11 +3,18 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* How near the adapter that is asked for is; a nearer one wins. */
+typedef enum Adapter {
+    ADAPTER_LATER, /* another order is under way there */
+    ADAPTER_SOON,  /* it can be brought */
+    ADAPTER_HELD   /* or none is asked for */
+} Adapter;
+
 typedef struct Best {
     BkUp *up;
     int64_t cost;
     int rank; /* 0 usual, 1 avoided, 2 lapsed: a lower one always wins */
-    bool has_adapter;
+    Adapter adapter;
 } Best;
 
 typedef struct Tally {
@@ -98,21 +105,24 @@
     return true;
 }
 
-static bool
-has_adapter(const BkPickQuery *query, const BkUp *up)
+static Adapter
+adapter_at(const BkPickQuery *query, const BkUp *up, BkMs now)
 {
-    return query->adapter == 0 ||
-           BkUp_HoldsAdapter(up, query->model, query->adapter);
+    if (query->adapter == 0 ||
+        BkUp_HoldsAdapter(up, query->model, query->adapter)) {
+        return ADAPTER_HELD;
+    }
+    return now < up->ordered_until ? ADAPTER_LATER : ADAPTER_SOON;
 }
 
 static bool
-is_better(const Best *best, int rank, bool adapter, int64_t cost)
+is_better(const Best *best, int rank, Adapter adapter, int64_t cost)
 {
     if (best->up == NULL || rank != best->rank) {
         return best->up == NULL || rank < best->rank;
     }
-    if (adapter != best->has_adapter) {
-        return adapter;
+    if (adapter != best->adapter) {
+        return adapter > best->adapter;
     }
     return cost < best->cost;
 }
@@ -132,7 +142,7 @@
             continue;
         }
         int rank = rank_of(up, now);
-        bool adapter = has_adapter(query, up);
+        Adapter adapter = adapter_at(query, up, now);
         int64_t cost = cost_of(conf, query, up);
         if (is_better(&best, rank, adapter, cost)) {
             best = (Best){up, cost, rank, adapter};
@@ -151,10 +161,11 @@
         return (BkPickChoice){none, NULL};
     }
     if (home.up != NULL && home.rank == best.rank &&
-        home.has_adapter == best.has_adapter &&
+        home.adapter == best.adapter &&
         home.cost <= best.cost + conf->affinity) {
         best = home;
     }
-    return (BkPickChoice){best.has_adapter ? BK_PICK_SEND : BK_PICK_ADAPTER,
+    return (BkPickChoice){best.adapter == ADAPTER_HELD ? BK_PICK_SEND
+                                                       : BK_PICK_ADAPTER,
                           best.up};
 }
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -211,10 +211,17 @@
     second.await_ready()
     wait("they hear each other", lambda: front.events("peer heard") and
          second.events("peer heard"))
-    blind.act = (lambda path, query, body, act=blind.act:
-                 (200, {"rows": [], "ver": 0, "nowMs": 0})
-                 if path == "/api/rows-feed" and not time.sleep(0.3)
-                 else act(path, query, body))
+    silent = []
+
+    def act(path, query, body, act=blind.act):
+        if path != "/api/rows-feed":
+            return act(path, query, body)
+        silent.append(query["table"])
+        time.sleep(0.3)
+        return 200, {"rows": [], "ver": 0, "nowMs": 0}
+    blind.act = act
+    # feeds that began before have ended
+    wait("both feeds are silent", lambda: {"op", "servers"} <= set(silent))
     configure(store, 7, [route("new", "safe")])
     configure(blind, 7, [route("new", "safe")])
     wait("the second one has it", lambda: any(
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -92,6 +92,9 @@
     else if (strcmp(words[0], "avoid") == 0) {
         up->avoid_until = 2000;
     }
+    else if (strcmp(words[0], "ordered") == 0) {
+        up->ordered_until = 5000;
+    }
     else if (strcmp(words[0], "leaving") == 0) {
         BkFleet_MarkLeaving(&bench->fleet, up, 0);
     }
