--- a/src/front/relayed.c
+++ b/src/front/relayed.c
@@ -113,7 +113,10 @@
     if (site > (front->site == NULL ? 0 : front->site->version)) {
         FrSync_Hurry(sync, FR_TOPIC_SITE, false, now);
     }
-    if (reports <= list->version) {
+    if (reports > list->heard) {
+        list->heard = reports;
+    }
+    if (list->heard <= list->version) {
         list->behind_at = 0;
     }
     else if (list->behind_at == 0) {
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -309,7 +309,11 @@
 {
     FrFollower *follower = &sync->followers[topic];
 
-    if (now - follower->hurried_at < HURRY_AGAIN || follower->failed) {
+    bool waits = follower->busy && !sync->reader &&
+                 now - follower->called_at < CALL_LIMIT;
+
+    if (now - follower->hurried_at < HURRY_AGAIN || follower->failed ||
+        waits) {
         return;
     }
     BkLog_Event(BK_LOG_INFO, "sync", NULL, "behind another daemon", "s:s, s:I",
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -33,7 +33,8 @@
     BkMs wait; /* that the call asked for */
     BkMs pause;
     BkMs hurried_at;
-    BkMs behind_at; /* since when another daemon knows more; 0: none does */
+    uint64_t heard; /* newest version that another daemon has told of */
+    BkMs behind_at; /* since when that is newer than ours; 0: it is not */
     BkTimer *timer;
     uint64_t call; /* number of the newest call; others' answers are void */
 } FrFollower;
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -266,3 +266,38 @@
     code, fields, _, _ = ask(front, "unknown", X_Deadline_Ms="1000")
     check(code == 503 and float(fields["retry-after"]) > 0, "%s", code)
     check(not runs(ups), "it ran")
+
+
+@case
+def state_readers_tell_the_others(world):
+    """A few daemons follow the store, and the others learn from them all that
+    changes: by the feed, by a list after lost history, and when the readers
+    are killed together."""
+    store, ups, _ = serve(world, 3)
+    fronts = [Front(world, store, "front-%d" % n) for n in range(2, 8)]
+    for front in fronts:
+        front.await_ready()
+
+    def listeners():
+        return [x for x in fronts if x.events("reader") and
+                not x.events("reader")[-1]["is"]]
+    wait("some do not read", lambda: len(listeners()) >= 3)
+
+    def all_know(name, standing):
+        wait("all know that %s is %s" % (name, standing), lambda: all(
+            any(x["id"] == name and x["is"] == standing
+                for x in front.events("upstream")) for front in fronts))
+    ups[0].register(state="draining")
+    all_know("i-0", "leaving")
+    with store.lock:  # the removal is never told by a feed
+        store.version += 1
+        store.rows.pop(("servers", "i-1"))
+        store.forgotten = store.version + 1
+    store.put("op", "mark", {})
+    all_know("i-1", "gone")
+    readers = [x for x in fronts if x not in listeners()]
+    for reader in readers:
+        reader.kill()
+        fronts.remove(reader)
+    late = Replica(store, "i-late")
+    all_know(late.id, "listed")
