--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -239,7 +239,8 @@
 count_store_room(FrPlanner *planner, const BkSiteEngine *conf, BkMs now)
 {
     BkMs window = planner->front->conf.load_window;
-    double most = conf->loads_per_second * (double)window / BK_MS_PER_S;
+    double most = conf->loads_per_second * (double)window / BK_MS_PER_S *
+                  planner->front->conf.load_overshoot;
     int recent = 0;
 
     for (int i = 0; i < planner->store_load_count; i++) {
