--- a/include/bk/lease/lease.h
+++ b/include/bk/lease/lease.h
@@ -57,6 +57,7 @@
     BkLeasePhase phase;
     uint64_t term;         /* highest known */
     uint64_t gave_up;      /* own term that is never held again */
+    uint64_t resigned;     /* term that its holder has given up, by gossip */
     uint64_t term_version; /* of the rows as last read or written */
     uint64_t beat_version;
     BkMs changed_at;  /* beat last seen to change; BK_MS_NEVER: not seen */
@@ -81,6 +82,10 @@
 void BkLease_HeardRows(BkLease *lease, uint64_t term, uint64_t term_version,
                        uint64_t beat_version);
 
+/* Gossip told that the holder of this term never orders in it again: the
+ * term may be claimed as soon as the rows are read. */
+void BkLease_HeardResigned(BkLease *lease, uint64_t term, BkMs now);
+
 void BkLease_TookRead(BkLease *lease, const BkLeaseRows *rows, BkMs now);
 void BkLease_Claimed(BkLease *lease, uint64_t term_version,
                      uint64_t beat_version);
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -50,6 +50,7 @@
 	u_quad_t reports;
 	u_quad_t term;
 	int plans;
+	u_quad_t resigned;
 	u_quad_t term_version;
 	u_quad_t beat_version;
 	struct {
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -5,11 +5,13 @@
 
 #include "bk/base/log.h"
 #include "peers.h"
+#include "sync.h"
 
 enum {
     STEP = 25,          /* ms between steps while this daemon plans */
     STEP_IDLE = 100,    /* ms between steps else */
     PLAN_EVERY = 100,   /* ms between decisions */
+    RESIGN_AFTER = 700, /* ms that the store has failed this daemon */
     SETTLE = 500,       /* ms after a takeover until demand is known */
     APPEARING = 1500,   /* ms since the last engine appeared: others still
                              may, with models that seem missing */
@@ -60,6 +62,7 @@
     BkMs now = BkClock_Now();
 
     news->plans = FrPlanner_IsActive(planner, now);
+    news->resigned = planner->lease.gave_up;
     if (!news->plans) {
         return;
     }
@@ -331,7 +334,8 @@
 
     if (now - planner->planned_at < PLAN_EVERY || site == NULL ||
         now - planner->active_since < SETTLE ||
-        (planner->engines_grew && now - planner->grown_at < APPEARING)) {
+        (planner->engines_grew && planner->active_term == 1 &&
+         now - planner->grown_at < APPEARING)) {
         return;
     }
     planner->engines_grew = false;
@@ -390,6 +394,28 @@
                 (json_int_t)planner->active_term);
 }
 
+/* The store fails this daemon and answers others: one of them can take over
+   at once if this one gives the term up and says so. */
+static void
+maybe_resign(FrPlanner *planner, BkMs now)
+{
+    const FrFront *front = planner->front;
+
+    if (!FrSync_IsIll(front->sync)) {
+        planner->well_at = now;
+    }
+    if (!planner->active || now - planner->well_at < RESIGN_AFTER ||
+        !FrPeers_AnySeesStore(front->peers, now)) {
+        return;
+    }
+    BkLog_Event(BK_LOG_NOTICE, "planner", NULL, "resigned", "s:I, s:I", "term",
+                (json_int_t)planner->active_term, "ill_for_ms",
+                (json_int_t)(now - planner->well_at));
+    BkLease_GiveUp(&planner->lease, now);
+    end_term(planner);
+    FrPeers_TellAll(front->peers);
+}
+
 static void
 follow_lease(FrPlanner *planner, BkMs now)
 {
@@ -413,6 +439,7 @@
     BkMs now = BkClock_Now();
 
     FrElection_Step(planner, now);
+    maybe_resign(planner, now);
     follow_lease(planner, now);
     FrDemand_Tell(planner, now);
     if (FrPlanner_IsActive(planner, now)) {
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -100,6 +100,7 @@
     bool active;
     uint64_t active_term;
     BkMs active_since;
+    BkMs well_at; /* when the store was last known to answer */
     FrEngine **engines;
     int engine_count;
     bool engines_grew; /* at grown_at, not yet planned with */
--- a/src/lease/lease.c
+++ b/src/lease/lease.c
@@ -84,6 +84,18 @@
     lease->beat_version = beat_version;
 }
 
+void
+BkLease_HeardResigned(BkLease *lease, uint64_t term, BkMs now)
+{
+    if (lease->phase == BK_LEASE_HOLD || lease->busy || term < lease->term ||
+        term == lease->resigned) {
+        return;
+    }
+    lease->term = term;
+    lease->resigned = term;
+    lease->next_at = now + jitter(lease, lease->conf.renew / 4);
+}
+
 static bool
 is_mine(const BkLease *lease, const BkLeaseRows *rows)
 {
@@ -95,6 +107,7 @@
 may_claim(const BkLease *lease, const BkLeaseRows *rows, BkMs now)
 {
     return rows->term == 0 || rows->released ||
+           rows->term == lease->resigned ||
            now - lease->changed_at >= lease->conf.span;
 }
 
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -60,6 +60,8 @@
 		 return FALSE;
 	 if (!xdr_int (xdrs, &objp->plans))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->resigned))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->term_version))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->beat_version))
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -38,6 +38,8 @@
     unsigned hyper reports;       /* newest version of the reports' table */
     unsigned hyper term;          /* the planner's, if it is the planner */
     int plans;                    /* whether it is, its lease being valid */
+    unsigned hyper resigned;      /* a term that it held, and never acts in
+                                     again; 0: none */
     unsigned hyper term_version;  /* of the lease's rows, as it wrote them */
     unsigned hyper beat_version;
     unsigned int begun<BKP_MAX_BEGUN>; /* ages in ms of loads from the weight
--- a/tests/unit/test_lease.c
+++ b/tests/unit/test_lease.c
@@ -107,6 +107,13 @@
     if (strcmp(verb, "heard") == 0) {
         BkLease_Heard(lease, strtoull(words[2], NULL, 10), atoll(words[3]));
     }
+    else if (strcmp(verb, "heard-rows") == 0) {
+        BkLease_HeardRows(lease, strtoull(words[2], NULL, 10),
+                          bench->rows.term_version, bench->rows.beat_version);
+    }
+    else if (strcmp(verb, "resigned") == 0) {
+        BkLease_HeardResigned(lease, strtoull(words[2], NULL, 10), bench->now);
+    }
     else if (strcmp(verb, "give-up") == 0) {
         BkLease_GiveUp(lease, bench->now);
         bench->rows.released = true;
