--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -194,8 +194,10 @@
 
 /* ms that a unit of work already on an engine counts for */
 static const double work_cost = 0.05;
-/* ms that having to unload first counts for; runs must end before */
+/* ms that having to unload first counts for, and a token a second that the
+   model unloaded is asked for: its runs must end before */
 static const double victim_cost = 600;
+static const double need_cost = 0.2;
 
 static void
 weigh_spot(const Plan *plan, int model, int e, double most, Spot *best)
@@ -215,10 +217,10 @@
     }
     if (used_mb(plan, engine) + info->weights_mb > engine->room_mb) {
         spot.victim = find_victim(plan, engine, most);
-        spot.cost += victim_cost;
         if (spot.victim == 0) {
             return;
         }
+        spot.cost += victim_cost + need_cost * need_of(plan, spot.victim);
     }
     if (best->engine < 0 || spot.cost < best->cost) {
         *best = spot;
