--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -247,7 +247,8 @@
     int told = 0;
 
     fill_news(peers, &news, &parts);
-    if (news.loads.loads_len == 0 && !news.plans &&
+    /* with many others, each is told seldom enough as it is */
+    if (news.loads.loads_len == 0 && peers->count <= TOLD_A_ROUND &&
         peers->round % QUIET_EVERY != 0) {
         return;
     }
--- a/src/front/relayed.c
+++ b/src/front/relayed.c
@@ -4,7 +4,7 @@
 #include "sync.h"
 
 enum {
-    READERS = 3,          /* so that the loss of two is not felt */
+    READERS = 2,          /* so that the loss of one is not felt */
     SIGN_EVERY = 350,     /* ms between a reader's signs of life */
     READER_SILENT = 1000, /* ms without any of them until one reads itself */
     FEED_LAG = 250        /* ms that two daemons' knowledge may differ */
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -18,6 +18,8 @@
     PAUSE_FIRST = 60,  /* ms before a call that failed is made again */
     PAUSE_MOST = 600,  /* ms, doubled from the first on */
     SLOW_ANSWER = 400, /* ms; an answer later than this is a sign of illness */
+    FEED_PAUSE = 150,  /* ms after changes, so that a stream of them does not
+                          make a call for each */
     HURRY_AGAIN = 300, /* ms between two hurries */
     HURRY_SPREAD = 120 /* ms; daemons that hear the same do not call at once */
 };
@@ -44,10 +46,10 @@
 
 /* the next call, if there is any need of one */
 static void
-go_on(FrFollower *follower)
+go_on(FrFollower *follower, BkMs pause)
 {
     if (!follower->whole || follower->sync->reader) {
-        call_again(follower, 0);
+        call_again(follower, pause);
     }
 }
 
@@ -220,11 +222,12 @@
     follower->failed = false;
     if (follower->whole) {
         take_feed(follower, reply, now);
+        go_on(follower, reply->count > 0 ? FEED_PAUSE : 0);
     }
     else {
         take_list(follower, reply, now);
+        go_on(follower, 0);
     }
-    go_on(follower);
 }
 
 static void
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -342,6 +342,7 @@
         bool from_store;
         load_time(engine, info, &from_store);
         if (info->weights_mb > room || is_on(engine, info->key) ||
+            info->work < plan->conf->idle ||
             (from_store && plan->store_loads <= 0)) {
             continue;
         }
