--- a/src/front/conf.c
+++ b/src/front/conf.c
@@ -53,7 +53,7 @@
          "tokens that a running request counts for"),
     SPEC("routing", "affinity", BK_SET_INT, pick_affinity, "600", 0, 1000000,
          "tokens of work more that a kept part of a prompt is worth"),
-    SPEC("routing", "far", BK_SET_INT, pick_far, "30", 0, 1000000,
+    SPEC("routing", "far", BK_SET_INT, pick_far, "250", 0, 1000000,
          "tokens that another failure domain costs"),
     SPEC("routing", "full", BK_SET_REAL, pick_full, "2.0", 100, 100000,
          "requests per slot of a plain service before others wait"),
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -221,10 +221,43 @@
     if (engine->loading != 0 && BkUp_HoldsModel(engine->up, engine->loading) &&
         engine->held_count < BK_UP_MAX_MODELS) {
         engine->held[engine->held_count++] = engine->loading;
+        engine->settled_at = now;
         end_change(engine, now);
     }
 }
 
+/* An engine's word is old by up to STATE_LAG: one from before an order or
+   change that is known of says nothing. */
+static void
+take_fresh_state(FrEngine *engine, const BkEngineState *state, BkMs now)
+{
+    BkUp *up = engine->up;
+
+    if (engine->polled_at < engine->settled_at + STATE_LAG) {
+        return;
+    }
+    if (state->has_orders && state->orders < up->orders &&
+        now - engine->order.first_at > 4 * STATE_LAG) {
+        /* it started again, and its count with it */
+        up->has_orders = false;
+    }
+    if (!state->has_orders ||
+        !BkUp_TakeHeld(up, &state->held, state->orders, now)) {
+        return;
+    }
+    FrAdapters_TakeState(engine);
+    take_held(engine, &state->held);
+    engine->planner->front->fleet.changes++;
+    if (engine->loading == 0 && engine->unloading == 0) {
+        engine->known = !state->busy; /* busy with what is not known here */
+    }
+    if (engine->doubt && !state->busy &&
+        state->orders > engine->order.expected) {
+        engine->doubt = false; /* one of the sendings was carried out */
+    }
+    check_change(engine, state->busy, now);
+}
+
 static void
 take_state(const BkHttpResult *result, BkStr body, void *arg)
 {
@@ -244,25 +277,7 @@
         return;
     }
     engine->poll_at = now + POLL_EVERY;
-    if (state.has_orders && state.orders < engine->up->orders &&
-        now - engine->order.first_at > 4 * STATE_LAG) {
-        /* it started again, and its count with it */
-        engine->up->has_orders = false;
-    }
-    if (state.has_orders &&
-        BkUp_TakeHeld(engine->up, &state.held, state.orders, now)) {
-        FrAdapters_TakeState(engine);
-        take_held(engine, &state.held);
-        engine->planner->front->fleet.changes++;
-    }
-    if (engine->loading == 0 && engine->unloading == 0) {
-        engine->known = !state.busy; /* busy with what is not known here */
-    }
-    if (engine->doubt && !state.busy && state.has_orders &&
-        state.orders > engine->order.expected) {
-        engine->doubt = false; /* one of the sendings was carried out */
-    }
-    check_change(engine, state.busy, now);
+    take_fresh_state(engine, &state, now);
     BkUpReport_Destroy(&state.held);
 }
 
@@ -282,6 +297,7 @@
                        .connect_timeout = ORDER_LIMIT,
                        .timeout = ORDER_LIMIT};
     engine->polling = true;
+    engine->polled_at = BkClock_Now();
     BkHttpClient_Fetch(engine->planner->front->http, &spec, STATE_MAX,
                        take_state, engine);
     BkBuf_Destroy(&field);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -56,6 +56,8 @@
     bool known; /* its state was read in this term */
     bool polling;
     BkMs poll_at;
+    BkMs polled_at;  /* when it was asked last */
+    BkMs settled_at; /* when a report told of a change before it did */
     bool asked; /* an order was sent, its answer is awaited */
     bool doubt; /* the answer was lost; the order is sent again */
     BkMs again_at;
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -5,7 +5,7 @@
 from basics import case, check, request, wait
 from case_front import play, runs, serve
 from platform_standins import (Caller, Front, Replica, Store, configure,
-                               route)
+                               plain, route)
 
 ENGINE = {"slots": 64, "kvCapacityTokens": 100000, "stride": 3,
           "weightsMb": 200, "adapterSlots": 2, "loadsPerS": 2,
@@ -145,6 +145,33 @@
         check(len(loads) == len(set(loads)), "twice: %s", loads)
 
 
+@case
+def state_no_more_than_fits(world):
+    """Demand that moves to other models and adapters, engines that carry
+    orders out slowly and whose word about themselves is old: no engine is
+    ever ordered to hold more than it has room for."""
+    _, ups, (front,) = engines(world, [{"m1": set()}, {"m2": set()},
+                                       {"m1": set()}, {"m3": set()}])
+    for up in ups:
+        up.takes, up.lag, up.slow = 0.3, 0.25, 0.25
+    wait("a planner", lambda: terms([front]))
+    for turn in range(30):
+        model = "m%d" % (turn // 6 % 3 + 1)
+        callers = [Caller(front) for _ in range(6)]
+        for n, caller in enumerate(callers):
+            caller.send(plain("/llm/", b"", X_Token_Count="6000,10",
+                              X_Model="%s/a%d" % (model, n % 4 + 1)
+                              if n % 2 else model))
+        time.sleep(0.4)
+        for caller in callers:
+            caller.close()
+    moved = [x for up in ups for x in up.orders
+             if x["code"] == 202 and "adapter" not in x]
+    check(len(moved) >= 4, "only %s", moved)
+    for up in ups:
+        check(not up.over, "%s: %s", up.id, up.over)
+
+
 @case
 def state_takeover(world):
     """When the planner is killed another daemon takes over: its fence is
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -185,6 +185,9 @@
         self.plays = [lambda asked, sock: sock.sendall(sealed(asked))]
         self.runs, self.orders, self.closed = [], [], []
         self.count, self.fence, self.late = 0, 0, 0
+        # s: an order takes, reports are old, reports take
+        self.takes, self.lag, self.slow = 0, 0, 0
+        self.busy, self.over, self.reports = None, [], []
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -235,7 +238,9 @@
                                % self.id.encode())
             return True
         if asked.target == "/api/report":
-            return self.say(connection, 200, self.report())
+            state = self.report()
+            time.sleep(self.slow)
+            return self.say(connection, 200, state)
         if asked.target == "/api/order":
             return self.order(connection, json.loads(asked.body))
         with self.lock:
@@ -258,18 +263,28 @@
         return True
 
     def report(self):
-        return {"models": [{"name": name, "version": 1,
+        """As it was a moment ago."""
+        now = time.monotonic()
+        with self.lock:
+            self.reports.append((now, {
+                "models": [{"name": name, "version": 1,
                             "adapters": sorted(adapters)}
                            for name, adapters in (self.models or {}).items()],
-                "busy": False, "sequence": self.count, "running": 0,
-                "waiting": 0}
+                "busy": self.busy is not None, "sequence": self.count,
+                "running": 0, "waiting": 0}))
+            old = [x for at, x in self.reports if at <= now - self.lag]
+            return (old or [self.reports[0][1]])[-1]
+
+    def remember(self):
+        """Notes what it is like, for reports that come later."""
+        self.report()
 
     def order(self, connection, order):
         with self.lock:
             order["at"] = time.monotonic()
             if order["fencingToken"] < self.fence:
                 code = 412
-            elif order.get("expected") != self.count:
+            elif order.get("expected") != self.count or self.busy:
                 code = 409
             else:
                 code = self.apply(order)
@@ -279,10 +294,29 @@
             if self.late > 0 and code == 202:
                 self.late -= 1
                 return False  # carried out, and no answer
-        if code == 202 and "adapter" not in order:
+        if code == 202 and "adapter" not in order and not self.takes:
             self.register()
+        self.remember()
         return self.say(connection, code, {})
 
+    def finish(self, order):
+        time.sleep(self.takes)
+        with self.lock:
+            self.busy = None
+            if order["operation"] == "load":
+                self.models[order["model"]] = set()
+            else:
+                self.models.pop(order["model"], None)
+        self.remember()
+        self.register()
+
+    def check_room(self, adapter):
+        """Two models and two adapters fit."""
+        held = sum(len(x) for x in self.models.values()) if adapter else \
+            len(self.models)
+        if held >= 2:
+            self.over.append((adapter, dict(self.models)))
+
     def apply(self, order):
         held = self.models.get(order["model"])
         adapter = order.get("adapter")
@@ -292,14 +326,20 @@
                 return 200
             if adapter and held is None:
                 return 421
-            self.models.setdefault(order["model"], set())
+            self.check_room(adapter)
             if adapter:
                 self.models[order["model"]].add(adapter)
+            elif not self.takes:
+                self.models[order["model"]] = set()
         elif adapter:
             held.discard(adapter)
-        else:
+        elif not self.takes:
             self.models.pop(order["model"], None)
         self.count += 1
+        if self.takes and not adapter:
+            self.busy = order
+            threading.Thread(target=self.finish, args=(order,),
+                             daemon=True).start()
         return 202
 
 
