sync: void the call that a reader gives up

A reader that is behind another daemon asks for the whole list, up to 120 ms later; the answer of its feed, when it came in that time, was taken for the list, and every upstream that it did not name as gone. Upstreams that report again heal it on the platform; until then the daemon refused what it could have served.

The soak's proxy moves to the stand-ins.

--- a/src/front/relayed.c
+++ b/src/front/relayed.c
@@ -3,6 +3,8 @@
 #include "peers.h"
 #include "sync.h"
 
+#include "bk/base/log.h"
+
 enum {
     READERS = 2,          /* so that the loss of one is not felt */
     SIGN_EVERY = 350,     /* ms between a reader's signs of life */
@@ -27,6 +29,9 @@
 fill_row(const BkStoreRow *row, bkp_row *out, char *key)
 {
     if (row->key.len > BKP_NAME || row->value.len > BKP_ROW_BYTES) {
+        BkLog_Event(BK_LOG_DEBUG, "sync", NULL, "row too large to pass on",
+                    "s:I, s:I", "bytes", (json_int_t)row->value.len, "version",
+                    (json_int_t)row->version);
         return false;
     }
     memcpy(key, row->key.ptr, row->key.len);
@@ -111,7 +116,7 @@
     FrFollower *list = &sync->followers[FR_TOPIC_REPORTS];
 
     if (site > (front->site == NULL ? 0 : front->site->version)) {
-        FrSync_Hurry(sync, FR_TOPIC_SITE, false, now);
+        FrSync_Hurry(sync, FR_TOPIC_SITE, now);
     }
     if (reports > list->heard) {
         list->heard = reports;
@@ -123,7 +128,7 @@
         list->behind_at = now;
     }
     else if (now - list->behind_at >= FEED_LAG) {
-        FrSync_Hurry(sync, FR_TOPIC_REPORTS, false, now);
+        FrSync_Hurry(sync, FR_TOPIC_REPORTS, now);
     }
 }
 
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -308,7 +308,7 @@
 }
 
 void
-FrSync_Hurry(FrSync *sync, FrTopic topic, bool all, BkMs now)
+FrSync_Hurry(FrSync *sync, FrTopic topic, BkMs now)
 {
     FrFollower *follower = &sync->followers[topic];
 
@@ -323,9 +323,10 @@
                 "table", follower->table, "version",
                 (json_int_t)follower->version);
     follower->hurried_at = now;
-    if (all || sync->reader) {
+    if (sync->reader) {
         /* the present call may hang, or its feed be silent: its answer is
            void, and all is read again */
+        follower->call++;
         follower->whole = false;
         follower->listing = false;
     }
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -55,8 +55,9 @@
 void FrSync_NoteStore(FrSync *sync, bool good, BkMs now);
 void FrSync_SetReader(FrSync *sync, bool reader);
 
-/* Another daemon knows more: asks the store for what changed, or for all. */
-void FrSync_Hurry(FrSync *sync, FrTopic topic, bool all, BkMs now);
+/* Another daemon knows more: asks the store for what changed; a reader, whose
+ * feed ought to have told, for all. */
+void FrSync_Hurry(FrSync *sync, FrTopic topic, BkMs now);
 
 /* relayed.c: passes changes on, and takes those of other readers. */
 void FrRelayed_PassOn(FrSync *sync, const BkStoreReply *reply,
--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -7,18 +7,16 @@
 """
 import collections
 import concurrent.futures
-import contextlib
 import os
 import random
-import socket
 import threading
 import time
 
 from basics import case, check, together, wait
 from case_front import bad_answers, chunk, begin, events
 from case_front_state import ENGINE
-from platform_standins import (Caller, Front, Replica, Store, configure,
-                               not_run, plain, route, sealed)
+from platform_standins import (Caller, Front, Proxy, Replica, Store,
+                               configure, not_run, plain, route, sealed)
 
 SECONDS = float(os.environ.get("SOAK_S", "12"))
 EVENTS = 8
@@ -26,66 +24,6 @@
 MODELS = ("m1", "m2", "m3")
 
 
-class Proxy:
-    """A TCP relay whose faults are set from outside."""
-
-    def __init__(self, target):
-        self.target, self.pairs, self.lock = target, [], threading.Lock()
-        self.delay, self.refuse, self.mute = 0, False, ()
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
-        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            near, _ = self.listener.accept()
-            host, port = self.target.split(":")
-            try:
-                if self.refuse:
-                    raise OSError
-                far = socket.create_connection((host, int(port)))
-            except OSError:
-                near.close()
-                continue
-            pair = {"near": near, "far": far, "silent": False}
-            with self.lock:
-                self.pairs.append(pair)
-            for way, source, sink in (("up", near, far), ("down", far, near)):
-                threading.Thread(target=self.pump, daemon=True,
-                                 args=(pair, way, source, sink)).start()
-
-    def pump(self, pair, way, source, sink):
-        with contextlib.suppress(OSError):
-            while data := source.recv(65536):
-                if self.delay:
-                    time.sleep(self.delay)
-                if pair["silent"] or way in self.mute:
-                    continue
-                sink.sendall(data)
-        if not pair["silent"]:
-            for side in (source, sink):
-                with contextlib.suppress(OSError):
-                    side.shutdown(socket.SHUT_RDWR)
-
-    def silence(self):
-        """Open connections deliver nothing more; new ones work."""
-        with self.lock:
-            for pair in self.pairs:
-                pair["silent"] = True
-            self.pairs = []
-
-    def reset(self):
-        with self.lock:
-            for pair in self.pairs:
-                for side in (pair["near"], pair["far"]):
-                    with contextlib.suppress(OSError):
-                        side.shutdown(socket.SHUT_RDWR)
-            self.pairs = []
-
-    def heal(self):
-        self.delay, self.refuse, self.mute = 0, False, ()
-
-
 def answer(asked, sock):
     """Each kind of route answers with what belongs to its request."""
     if asked.target.startswith(("/flow/", "/again/", "/llm/")):
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -4,8 +4,8 @@
 
 from basics import case, check, request, wait
 from case_front import play, runs, serve
-from platform_standins import (Caller, Front, Replica, Store, configure,
-                               plain, route)
+from platform_standins import (Caller, Front, Proxy, Replica, Store,
+                               configure, plain, route)
 
 ENGINE = {"slots": 64, "kvCapacityTokens": 100000, "stride": 3,
           "weightsMb": 200, "adapterSlots": 2, "loadsPerS": 2,
@@ -328,3 +328,22 @@
         fronts.remove(reader)
     late = Replica(store, "i-late")
     all_know(late.id, "listed")
+
+
+@case
+def state_late_feed(world):
+    """A reader that hears of a change, too large to be passed on, before its
+    feed tells it asks for the whole list. The feed's late answer isn't taken
+    for that list."""
+    store, ups, _ = serve(world, 2)
+    door = Proxy(store.addr)
+    front = Front(world, door, "front-2").await_ready()
+    wait("they hear each other", lambda: front.events("peer heard"))
+    for n in range(14):
+        door.delay = 0.12 + n / 100  # for the head, and again for the body
+        ups[1].register(sequence=n + 2, note="x" * 1500)
+        time.sleep(0.9)
+        check(Caller(front).ask("/safe/x")[0] == 200, "served")
+    check(front.events("behind another daemon"), "the feed was late")
+    check(not [x for x in front.events("upstream") if x["is"] != "listed"],
+          "%s", front.events("upstream"))
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -364,6 +364,66 @@
         else look(m.group(1))), text)
 
 
+class Proxy:
+    """A TCP relay whose faults are set from outside."""
+
+    def __init__(self, target):
+        self.target, self.pairs, self.lock = target, [], threading.Lock()
+        self.delay, self.refuse, self.mute = 0, False, ()
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            host, port = self.target.split(":")
+            try:
+                if self.refuse:
+                    raise OSError
+                far = socket.create_connection((host, int(port)))
+            except OSError:
+                near.close()
+                continue
+            pair = {"near": near, "far": far, "silent": False}
+            with self.lock:
+                self.pairs.append(pair)
+            for way, source, sink in (("up", near, far), ("down", far, near)):
+                threading.Thread(target=self.pump, daemon=True,
+                                 args=(pair, way, source, sink)).start()
+
+    def pump(self, pair, way, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                if self.delay:
+                    time.sleep(self.delay)
+                if pair["silent"] or way in self.mute:
+                    continue
+                sink.sendall(data)
+        if not pair["silent"]:
+            for side in (source, sink):
+                with contextlib.suppress(OSError):
+                    side.shutdown(socket.SHUT_RDWR)
+
+    def silence(self):
+        """Open connections deliver nothing more; new ones work."""
+        with self.lock:
+            for pair in self.pairs:
+                pair["silent"] = True
+            self.pairs = []
+
+    def reset(self):
+        with self.lock:
+            for pair in self.pairs:
+                for side in (pair["near"], pair["far"]):
+                    with contextlib.suppress(OSError):
+                        side.shutdown(socket.SHUT_RDWR)
+            self.pairs = []
+
+    def heal(self):
+        self.delay, self.refuse, self.mute = 0, False, ()
+
+
 class Front(Program):
     """bk-front with settings from the platform's template."""
 
