sync: keep changes that came too early; begin at the last change

Non-readers asked the store though they had missed nothing, or before a datagram that was overtaken arrived. (1) What a reader passed on began at the store's version, which grows with every table; now at the last change of the reports' table. (2) Changes that came before those that go before them are kept (front/held) until the gap is filled. (3) Rows are passed on in the order of their versions, whatever order the feed has, and a row that is too large to pass on no longer lets a later message hide it.

--- a/src/front/relayed.c
+++ b/src/front/relayed.c
@@ -1,3 +1,4 @@
+#include <stdlib.h>
 #include <string.h>
 
 #include "peers.h"
@@ -24,29 +25,37 @@
     FrPeers_SendAll(front->peers, BKP_REPORTS, reports);
 }
 
-/* false: too large to be passed on; those behind will ask the store */
 static bool
+fits(const BkStoreRow *row)
+{
+    return row->key.len <= BKP_NAME && row->value.len <= BKP_ROW_BYTES;
+}
+
+static void
 fill_row(const BkStoreRow *row, bkp_row *out, char *key)
 {
-    if (row->key.len > BKP_NAME || row->value.len > BKP_ROW_BYTES) {
-        BkLog_Event(BK_LOG_DEBUG, "sync", NULL, "row too large to pass on",
-                    "s:I, s:I", "bytes", (json_int_t)row->value.len, "version",
-                    (json_int_t)row->version);
-        return false;
-    }
     memcpy(key, row->key.ptr, row->key.len);
     key[row->key.len] = '\0';
     *out = (bkp_row){.key = key,
                      .revision = row->version,
                      .gone = row->gone,
                      .value = {(u_int)row->value.len, (char *)row->value.ptr}};
-    return true;
 }
 
-/* Messages stay within a datagram: two rows each, in the feed's order, each
-   with the version behind which it begins. */
-void
-FrRelayed_PassOn(FrSync *sync, const BkStoreReply *reply, uint64_t before)
+static int
+compare_versions(const void *a, const void *b)
+{
+    uint64_t left = ((const BkStoreRow *)a)->version;
+    uint64_t right = ((const BkStoreRow *)b)->version;
+
+    return (left > right) - (left < right);
+}
+
+/* Messages stay within a datagram: two rows each, in the order of their
+   versions, each with the version behind which it begins. */
+static void
+send_rows(FrSync *sync, const BkStoreRow *in_order, int count, uint64_t before,
+          uint64_t version)
 {
     enum {
         ROWS = 2
@@ -54,29 +63,54 @@
     bkp_row rows[ROWS];
     char keys[ROWS][BKP_NAME + 1];
 
-    for (int i = 0; i < reply->count; i += ROWS) {
-        bkp_reports reports = {.before = before, .rows = {0, rows}};
-        bool last = i + ROWS >= reply->count;
-        for (int k = 0; k < ROWS && i + k < reply->count; k++) {
-            u_int n = reports.rows.rows_len;
-            if (!fill_row(&reply->rows[i + k], &rows[n], keys[n])) {
-                reports.before = reply->version; /* a gap for the others */
-                continue;
-            }
-            reports.rows.rows_len++;
-            reports.revision = rows[n].revision;
-        }
-        if (last || reports.revision == 0) {
-            reports.revision = reply->version;
+    for (int i = 0; i < count; i += ROWS) {
+        int n = count - i < ROWS ? count - i : ROWS;
+        for (int k = 0; k < n; k++) {
+            fill_row(&in_order[i + k], &rows[k], keys[k]);
         }
+        bkp_reports reports = {
+            .before = before,
+            .revision = i + n == count ? version : rows[n - 1].revision,
+            .rows = {(u_int)n, rows}};
         before = reports.revision;
         send_reports(sync, &reports);
     }
 }
 
+/* the others will ask the store */
 static void
-take_rows(FrSync *sync, const bkp_reports *reports, BkMs now)
+send_gap(FrSync *sync, const BkStoreRow *row, uint64_t version)
+{
+    bkp_reports reports = {.before = version, .revision = version};
+
+    BkLog_Event(BK_LOG_INFO, "sync", NULL, "row too large to pass on",
+                "s:I, s:I", "bytes", (json_int_t)row->value.len, "version",
+                (json_int_t)row->version);
+    send_reports(sync, &reports);
+}
+
+void
+FrRelayed_PassOn(FrSync *sync, const BkStoreReply *reply, uint64_t before)
 {
+    for (int i = 0; i < reply->count; i++) {
+        if (!fits(&reply->rows[i])) {
+            send_gap(sync, &reply->rows[i], reply->version);
+            return;
+        }
+    }
+    size_t size = (size_t)reply->count * sizeof(BkStoreRow);
+    BkStoreRow *in_order = BkMem_New(1, size);
+    memcpy(in_order, reply->rows, size);
+    qsort(in_order, (size_t)reply->count, sizeof(*in_order), compare_versions);
+    send_rows(sync, in_order, reply->count, before, reply->version);
+    free(in_order);
+}
+
+static void
+take_message(FrSync *sync, const bkp_reports *reports, BkMs now)
+{
+    FrFollower *list = &sync->followers[FR_TOPIC_REPORTS];
+
     for (u_int i = 0; i < reports->rows.rows_len; i++) {
         const bkp_row *row = &reports->rows.rows_val[i];
         BkStoreRow taken = {
@@ -89,6 +123,21 @@
     if (reports->rows.rows_len > 0) {
         FrQueue_WakeSoon(sync->front, 0);
     }
+    if (reports->revision > list->version) {
+        list->version = reports->revision;
+    }
+}
+
+static void
+take_held(FrSync *sync, BkMs now)
+{
+    bkp_reports reports;
+
+    while (FrHeld_Next(&sync->held, sync->followers[FR_TOPIC_REPORTS].version,
+                       &reports)) {
+        take_message(sync, &reports, now);
+        xdr_free((xdrproc_t)xdr_bkp_reports, (char *)&reports);
+    }
 }
 
 void
@@ -100,11 +149,15 @@
     if (reports->ill) {
         BkFleet_NoteStoreIll(&sync->front->fleet, now);
     }
-    if (list->whole && reports->before <= list->version) {
-        take_rows(sync, reports, now);
-        if (reports->revision > list->version) {
-            list->version = reports->revision;
-        }
+    if (!list->whole) {
+        FrHeld_Clear(&sync->held);
+    }
+    else if (reports->before <= list->version) {
+        take_message(sync, reports, now);
+        take_held(sync, now);
+    }
+    else if (reports->revision > list->version) {
+        FrHeld_Keep(&sync->held, reports);
     }
     FrSync_TakeNews(sync, reports->site, reports->revision, now);
 }
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -190,13 +190,18 @@
 static void
 take_feed(FrFollower *follower, const BkStoreReply *reply, BkMs now)
 {
+    uint64_t changed = follower->sync->front->fleet.version;
+    /* the store's version grows with every table's; those who missed no
+       change of this one are not behind */
+    uint64_t before = changed < follower->after ? changed : follower->after;
+
     take_rows(follower, reply, now);
     if (reply->version > follower->version) {
         follower->version = reply->version;
     }
     if (follower->topic == FR_TOPIC_REPORTS && reply->count > 0 &&
         follower->sync->reader) {
-        FrRelayed_PassOn(follower->sync, reply, follower->after);
+        FrRelayed_PassOn(follower->sync, reply, before);
     }
 }
 
@@ -284,6 +289,7 @@
         BkTimer_Destroy(sync->followers[i].timer);
         free(sync->followers[i].from);
     }
+    FrHeld_Clear(&sync->held);
     free(sync);
 }
 
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -11,6 +11,7 @@
 
 #include "bk/peer/gen/peer_xdr.h"
 #include "front.h"
+#include "held.h"
 
 typedef enum FrTopic {
     FR_TOPIC_SITE,
@@ -44,6 +45,7 @@
     FrFollower followers[FR_TOPIC_COUNT];
     bool reader;
     bool ill;          /* the store failed the last call, or was late */
+    FrHeld held;       /* changes that came too early */
     BkMs relayed_at;   /* when a reader was heard */
     BkMs passed_on_at; /* as a reader: when others were told */
 };
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -110,7 +110,8 @@
                 {"table": table, "part": "", "key": key, "tombstone": True,
                  "ver": max(v for v, t, k in self.history
                             if (t, k) == (table, key))}
-                for key in sorted(changed())]
+                for key in changed()]
+        rows.sort(key=lambda row: row["ver"])
         return 200, {"rows": rows, "ver": self.version, "nowMs": 0}
 
     def commit(self, txn):
