--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -2,8 +2,8 @@
 
 Real daemons, each behind proxies of its own to the store and the upstreams.
 Faults come from outside: signals, and proxies that delay, reset, silence or
-cut. Judged by what callers and upstreams saw. By hand, for longer:
-    tests/proof/run --case soak_front --seed N   (SOAK_S=60 for a minute)
+cut. Judged by what callers and upstreams saw. For longer: SOAK_S=60 in the
+environment, seconds.
 """
 import collections
 import concurrent.futures
