--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -30,6 +30,8 @@
 typedef struct Call {
     FrFollower *follower;
     uint64_t number;
+    struct Call *prev; /* those under way */
+    struct Call *next;
 } Call;
 
 static void make_call(FrFollower *follower);
@@ -210,6 +212,39 @@
     }
 }
 
+static void
+end_call(Call *call)
+{
+    FrSync *sync = call->follower->sync;
+
+    if (call->prev != NULL) {
+        call->prev->next = call->next;
+    }
+    else {
+        sync->calls = call->next;
+    }
+    if (call->next != NULL) {
+        call->next->prev = call->prev;
+    }
+    free(call);
+}
+
+static Call *
+begin_call(FrFollower *follower)
+{
+    FrSync *sync = follower->sync;
+    Call *call = BkMem_New(1, sizeof(*call));
+
+    follower->call++;
+    *call = (Call){
+        .follower = follower, .number = follower->call, .next = sync->calls};
+    if (call->next != NULL) {
+        call->next->prev = call;
+    }
+    sync->calls = call;
+    return call;
+}
+
 static void
 take_reply(const BkStoreReply *reply, void *arg)
 {
@@ -217,7 +252,7 @@
     FrFollower *follower = call.follower;
     BkMs now = BkClock_Now();
 
-    free(arg);
+    end_call(arg);
     if (call.number != follower->call) {
         return;
     }
@@ -254,10 +289,8 @@
 make_call(FrFollower *follower)
 {
     BkStore *store = follower->sync->front->store;
-    Call *call = BkMem_New(1, sizeof(*call));
+    Call *call = begin_call(follower);
 
-    follower->call++;
-    *call = (Call){follower, follower->call};
     follower->busy = true;
     follower->called_at = BkClock_Now();
     follower->after = follower->version;
@@ -305,6 +338,9 @@
         BkTimer_Destroy(sync->followers[i].timer);
         free(sync->followers[i].from);
     }
+    while (sync->calls != NULL) {
+        end_call(sync->calls);
+    }
     FrHeld_Clear(&sync->held);
     free(sync);
 }
