proof: judge claims' retention by the stand-in's clock

Cause: the second entry answers "outcome unknown" until the outcome's row is written, which comes after the answer; beside load (30 busy loops, 8 runs at once) 2 of 16 runs fell into that gap: "EINPROGRESS", first answer "done". A true answer, so the case asked too early. With that mended, 1 of 16 runs stopped at "claim landed": the entry counts a claim before it is on the wire, and was frozen in between, so that nothing could land.

Ruled out: a claim swept early, or a run twice (one run in the journals).

The case is two now. Replays in retention: eight keys, each asked of both entries until known, same answer, one run, nothing swept.

--- a/tests/fakes/fake.c
+++ b/tests/fakes/fake.c
@@ -225,9 +225,13 @@
 }
 
 static void
-wait_settings(void)
+wait_settings(const BkFakeReq *req, const char *kind)
 {
     BkFake_Lock();
+    if (BkFake_Setting("frozen", 0) != 0) {
+        BkFake_Journal(json_pack("{s:s, s:s, s:O?}", "ev", "held", "on", kind,
+                                 "body", req->json));
+    }
     while (BkFake_Setting("frozen", 0) != 0) {
         BkFake_Unlock();
         usleep(PAUSE);
@@ -305,7 +309,7 @@
                       json_pack("{s:s}", "error", "no such call"));
         return send_answer(req, &reply, SIZE_MAX);
     }
-    wait_settings();
+    wait_settings(req, kind);
     BkFake_Lock();
     bool outage = BkFake_Setting("outage", 0) != 0;
     Fault fault = find_fault(kind, req);
--- a/tests/proof/case_once.py
+++ b/tests/proof/case_once.py
@@ -235,39 +235,76 @@
     no_doubles(world)
 
 
+def claim_commits(world, kind):
+    """Commits, by the platform's journal, that put or delete claims; rows
+    that are swept meanwhile don't matter."""
+    return [line for line in world.platform.journal("commit")
+            if any(row["t"] == "claims" for row in line.get(kind) or ())]
+
+
+@case
+def once_replayed_in_retention(world):
+    """Within its retention a key is answered again and never runs again.
+    The outcome may be written after the answer: until then the other entry
+    says that it does not know, so it is asked until it does."""
+    _, doors, caller = serve(world)
+    for turn in range(8):
+        key = "kept-%d" % turn
+        first = ask_until_done(caller, doors[turn % 2], key)
+        for door in doors:
+            again = ask_until_done(caller, door, key)
+            check(again.body == first.body, "%s: two answers", key)
+        check(len(runs_of_key(world, key)) == 1, "%s ran again", key)
+    check(not claim_commits(world, "dels"), "swept in retention")
+
+
 @case
 def once_retention_boundary(world):
-    """Within its retention a key never runs again, also when the entry
-    that claimed it was frozen beyond: it finds its claim too old to send."""
-    fakes, doors, caller = serve(
-        world, claim_retention="4s", answer_limit="200ms", deadline="300ms",
-        max_deadline="300ms", first_byte="1ms", service_time="1ms",
+    """A claim is swept when its retention ends and not before, and an entry
+    that was frozen beyond finds its claim too old to send."""
+    retention, deadline = 4000, 300
+    _, doors, caller = serve(
+        world, services=1, claim_retention="%dms" % retention,
+        answer_limit="200ms", deadline="%dms" % deadline,
+        max_deadline="%dms" % deadline, first_byte="1ms", service_time="1ms",
         claim_patience="20s", platform_timeout="20s",
         daemon_stale_after="20s", daemon_cut_off_after="20s")
-    first = order(caller, doors[0], "kept")
-    check(order(caller, doors[1], "kept").body == first.body, "replay")
-    check(len(runs_of_key(world, "kept")) == 1, "ran again in retention")
+    ask_until_done(caller, doors[0], "kept")
     wait("old rows deleted", lambda: not claims(world))
+    puts = claim_commits(world, "puts")
+    for swept in claim_commits(world, "dels"):
+        written = [put["at"] for put in puts if put["n"] < swept["n"]]
+        check(swept["at"] - written[-1] >= retention, "swept in retention")
+
+    def claim_held():
+        return any(row["t"] == "claims"
+                   for line in world.platform.journal("held")
+                   for row in (line.get("body") or {}).get("puts") or ())
 
-    def landed():
-        # by the journal: the row itself is swept after its retention
-        return [x for x in world.platform.journal("commit")
-                if any(row["t"] == "claims" for row in x.get("puts") or ())]
-    before = len(landed())
     world.platform.set(frozen=True)
-    sent = counter(doors[0], "bk_claim_transactions_total")
-    thread = threading.Thread(target=order, args=(caller, doors[0], "froze"))
+    late = []  # what the entry answers that is frozen with its claim
+
+    def order_until_held():
+        while not claim_held():
+            late.append(order(caller, doors[0], "froze"))
+    thread = threading.Thread(target=order_until_held)
     thread.start()
-    wait("claim sent", lambda: counter(
-        doors[0], "bk_claim_transactions_total") > sent)
+    # the entry counts a claim before it is on the wire
+    wait("claim sent", claim_held)
     doors[0].freeze()
     world.platform.set(frozen=False)
-    wait("claim landed", lambda: len(landed()) > before)
+    wait("claim landed",
+         lambda: len(claim_commits(world, "puts")) > len(puts))
     ask_until_done(caller, doors[1], "froze")
     doors[0].thaw()
     thread.join()
     wait("awake", doors[0].ready)
-    check(len(runs_of_key(world, "froze")) == 1, "ran at both entries")
+    runs = runs_of_key(world, "froze")
+    check(runs, "never ran")
+    check(not {run["request"] for run in runs} &
+          {answer.request for answer in late}, "ran at both entries")
+    check(all(after["at"] - before["at"] >= retention - deadline
+              for before, after in zip(runs, runs[1:])), "ran again")
 
 
 @case
