keeper: let one daemon count each engine's prompts

Each daemon kept to the window, but by a view of the others up to 100 ms old; up to 9000 tokens came to one engine in 300 ms.

Tried: news every 25 ms.

Now each engine has a keeper among the daemons, which grants sends.

The log of answers has the prompt's tokens and the longest pause.

front_keeper: three cases, all failed before (12 at once of 4 slots, 4500 tokens of 1800, nobody asked).

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -76,6 +76,8 @@
     int64_t own_prompt;
     int others_running;
     int64_t others_prompt;
+    bool load_untold; /* own load changed since its keeper was told */
+    BkMs full_until;  /* its keeper said that it is full */
 
     /* judged from its answers */
     int failures; /* in a row, without any success between */
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -162,6 +162,26 @@
 };
 typedef struct bkp_reports bkp_reports;
 
+struct bkp_ask {
+	char *name;
+	u_int number;
+	u_int prompt;
+	bkp_load load;
+};
+typedef struct bkp_ask bkp_ask;
+
+struct bkp_grant {
+	u_int number;
+	int granted;
+};
+typedef struct bkp_grant bkp_grant;
+
+struct bkp_told {
+	char *name;
+	bkp_load load;
+};
+typedef struct bkp_told bkp_told;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 1
 
@@ -181,6 +201,15 @@
 #define BKP_REPORTS 5
 extern  void * bkp_reports_1(bkp_reports *, CLIENT *);
 extern  void * bkp_reports_1_svc(bkp_reports *, struct svc_req *);
+#define BKP_ASK 6
+extern  void * bkp_ask_1(bkp_ask *, CLIENT *);
+extern  void * bkp_ask_1_svc(bkp_ask *, struct svc_req *);
+#define BKP_GRANT 7
+extern  void * bkp_grant_1(bkp_grant *, CLIENT *);
+extern  void * bkp_grant_1_svc(bkp_grant *, struct svc_req *);
+#define BKP_TOLD 8
+extern  void * bkp_told_1(bkp_told *, CLIENT *);
+extern  void * bkp_told_1_svc(bkp_told *, struct svc_req *);
 extern int bkp_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -199,6 +228,15 @@
 #define BKP_REPORTS 5
 extern  void * bkp_reports_1();
 extern  void * bkp_reports_1_svc();
+#define BKP_ASK 6
+extern  void * bkp_ask_1();
+extern  void * bkp_ask_1_svc();
+#define BKP_GRANT 7
+extern  void * bkp_grant_1();
+extern  void * bkp_grant_1_svc();
+#define BKP_TOLD 8
+extern  void * bkp_told_1();
+extern  void * bkp_told_1_svc();
 extern int bkp_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -218,6 +256,9 @@
 extern  bool_t xdr_bkp_changes (XDR *, bkp_changes*);
 extern  bool_t xdr_bkp_row (XDR *, bkp_row*);
 extern  bool_t xdr_bkp_reports (XDR *, bkp_reports*);
+extern  bool_t xdr_bkp_ask (XDR *, bkp_ask*);
+extern  bool_t xdr_bkp_grant (XDR *, bkp_grant*);
+extern  bool_t xdr_bkp_told (XDR *, bkp_told*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -233,6 +274,9 @@
 extern bool_t xdr_bkp_changes ();
 extern bool_t xdr_bkp_row ();
 extern bool_t xdr_bkp_reports ();
+extern bool_t xdr_bkp_ask ();
+extern bool_t xdr_bkp_grant ();
+extern bool_t xdr_bkp_told ();
 
 #endif /* K&R C */
 
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -56,6 +56,10 @@
 BkPickChoice BkPick_Choose(const BkPickConf *conf, const BkFleet *fleet,
                            const BkPickQuery *query, BkMs now);
 
+/* Whether the engine has no place for one more prompt of so many tokens. */
+bool BkPick_IsEngineFull(const BkPickConf *conf, const BkUp *up,
+                         int64_t prompt);
+
 /* What stands between a request and its first token there, in tokens. */
 int64_t BkPick_Backlog(const BkPickConf *conf, const BkUp *up);
 
--- a/src/front/answer.c
+++ b/src/front/answer.c
@@ -1,3 +1,4 @@
+#include "keeper.h"
 #include "relay.h"
 
 enum {
@@ -139,10 +140,22 @@
     if (relay->unread) {
         relay->up->own_prompt -= relay->query.prompt;
         relay->unread = false;
+        FrKeeper_NoteChange(relay->front->keeper, relay->up);
         FrQueue_WakeSoon(relay->front, 0);
     }
 }
 
+static void
+note_pause(FrRelay *relay)
+{
+    BkMs now = BkClock_Now();
+
+    if (relay->first_sent && now - relay->last_at > relay->longest_pause) {
+        relay->longest_pause = now - relay->last_at;
+    }
+    relay->last_at = now;
+}
+
 static void
 begin_answer(FrRelay *relay)
 {
@@ -159,7 +172,7 @@
     bool stream = relay->kind == BK_ROUTE_STREAM && relay->code < 300;
 
     note_read(relay);
-    relay->last_at = BkClock_Now();
+    note_pause(relay);
     BkBuf_Append(&relay->answer, data);
     if (stream) {
         FrStream_Pass(relay);
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -1,5 +1,5 @@
 #include "bk/wait/wait.h"
-#include "peers.h"
+#include "keeper.h"
 #include "planner.h"
 #include "relay.h"
 
@@ -10,6 +10,8 @@
 enum {
     WISH_AGAIN = 60,    /* ms until an adapter is asked for again */
     RETRY_NOBODY = 500, /* ms; Retry-After when no upstream is usable */
+    FULL_FOR = 25,      /* ms that an engine is left alone after its keeper
+                           said that it is full */
     AVOID_FIRST = 300,  /* ms an upstream is avoided after a failure */
     AVOID_MOST = 5000   /* ms, after many in a row */
 };
@@ -56,10 +58,11 @@
     return false;
 }
 
-static bool
-send_to(FrRelay *relay, BkUp *up, BkMs now)
+static void
+send_now(FrRelay *relay, BkMs now)
 {
     FrFront *front = relay->front;
+    BkUp *up = relay->up;
     BkBuf head = BkBuf_Make(0);
     BkUpstreamHint hint = {.deadline = relay->until - now,
                            .id = up->id,
@@ -70,7 +73,7 @@
 
     if (relay->sends > 0 && !spend_repeat(relay, now)) {
         FrRelay_GiveUp(relay, "the retry budget is spent", RETRY_NOBODY);
-        return true;
+        return;
     }
     BkBuf_Append(&head, BkBuf_Str(&relay->head));
     BkAdapter_PutHint(&head, &hint);
@@ -80,13 +83,9 @@
     BkBuf_Destroy(&head);
     if (relay->link == NULL) {
         FrRelay_GiveUp(relay, "no connection could be opened", RETRY_NOBODY);
-        return true;
+        return;
     }
-    relay->up = BkUp_Ref(up);
     snprintf(relay->last_up, sizeof(relay->last_up), "%s", up->id);
-    up->own_running++;
-    up->own_prompt += relay->query.prompt;
-    relay->unread = true;
     if (relay->query.adapter != 0) {
         FrPlanner_NoteUse(front->planner, up, relay->query.model,
                           relay->query.adapter);
@@ -104,7 +103,50 @@
                 "running", up->own_running + up->others_running,
                 "report_version", (json_int_t)up->row_version);
     FrRelay_ArmTimer(relay, now);
-    return true;
+}
+
+/* counts the request at the upstream, and sends it there or asks first */
+static void
+send_to(FrRelay *relay, BkUp *up, BkMs now)
+{
+    relay->up = BkUp_Ref(up);
+    up->own_running++;
+    up->own_prompt += relay->query.prompt;
+    relay->unread = true;
+    if (relay->query.model == 0 ||
+        !FrKeeper_Ask(relay->front->keeper, relay, now)) {
+        send_now(relay, now);
+    }
+}
+
+void
+FrRelay_TakeGrant(FrRelay *relay, bool granted, BkMs now)
+{
+    if (granted) {
+        send_now(relay, now);
+        return;
+    }
+    relay->up->full_until = now + FULL_FOR;
+    FrRelay_AbortAttempt(relay);
+    FrRelay_Dispatch(relay);
+}
+
+static BkPickConf
+pick_conf(const FrFront *front)
+{
+    return (BkPickConf){.window = front->conf.pick_window,
+                        .per_run = front->conf.pick_per_run,
+                        .affinity = front->conf.pick_affinity,
+                        .far = front->conf.pick_far,
+                        .full = front->conf.pick_full};
+}
+
+bool
+FrRelay_IsEngineFull(const FrFront *front, const BkUp *up, int64_t prompt)
+{
+    BkPickConf conf = pick_conf(front);
+
+    return BkPick_IsEngineFull(&conf, up, prompt);
 }
 
 static void
@@ -153,11 +195,7 @@
 {
     FrFront *front = relay->front;
     BkMs now = BkClock_Now();
-    BkPickConf conf = {.window = front->conf.pick_window,
-                       .per_run = front->conf.pick_per_run,
-                       .affinity = front->conf.pick_affinity,
-                       .far = front->conf.pick_far,
-                       .full = front->conf.pick_full};
+    BkPickConf conf = pick_conf(front);
     const BkSiteService *service =
         front->site == NULL ? NULL
                             : BkSite_FindService(front->site, relay->service);
@@ -170,7 +208,8 @@
     switch (choice.verdict) {
     case BK_PICK_SEND:
         FrQueue_Remove(relay);
-        return send_to(relay, choice.up, now);
+        send_to(relay, choice.up, now);
+        return true;
     case BK_PICK_ADAPTER:
         if (now - relay->wished_at >= WISH_AGAIN) {
             relay->wished_at = now;
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -1,4 +1,4 @@
-#include "peers.h"
+#include "keeper.h"
 #include "planner.h"
 
 #include <stdlib.h>
@@ -211,6 +211,7 @@
         FrFront_Destroy(front);
         return NULL;
     }
+    front->keeper = FrKeeper_Create(front);
     front->planner = FrPlanner_Create(front);
     front->sync = FrSync_Create(front);
     BkTimer_Start(front->tick, TICK);
@@ -244,6 +245,7 @@
     FrSync_Destroy(front->sync);
     FrPlanner_Destroy(front->planner);
     FrPeers_Destroy(front->peers);
+    FrKeeper_Destroy(front->keeper);
     BkFleet_Destroy(&front->fleet);
     BkHttpServer_Destroy(front->ops);
     BkHttpClient_Destroy(front->http);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -30,6 +30,8 @@
 typedef struct FrCaller FrCaller;
 typedef struct FrRelay FrRelay;
 typedef struct FrLink FrLink;
+typedef struct FrKeeper FrKeeper;
+typedef struct FrPeer FrPeer;
 typedef struct FrPeers FrPeers;
 typedef struct FrPlanner FrPlanner;
 typedef struct FrSync FrSync;
@@ -76,6 +78,7 @@
     BkFleet fleet;
     FrSync *sync;
     FrPeers *peers;
+    FrKeeper *keeper;
     FrPlanner *planner;
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
@@ -236,6 +239,12 @@
     BkBuf head; /* request line and forwarded fields */
     BkBuf body;
 
+    uint32_t ask; /* question to the keeper of up; 0: none */
+    BkMs asked_at;
+    FrPeer *keeper;    /* who was asked */
+    FrRelay *ask_prev; /* among those that wait for a keeper */
+    FrRelay *ask_next;
+
     FrLink *link;
     BkUp *up;                          /* of the present attempt */
     char last_up[FR_REQUEST_ID_BYTES]; /* id, of the last attempt */
@@ -252,6 +261,7 @@
     bool first_sent;
     BkMs first_at;
     BkMs last_at;
+    BkMs longest_pause; /* between two pieces of a stream */
     bool has_event;
     uint64_t last_event; /* passed on whole */
     const char *why;     /* a constant: what decided the outcome */
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -6,6 +6,7 @@
 
 #include "bk/base/log.h"
 #include "bk/net/datagram.h"
+#include "keeper.h"
 #include "planner.h"
 #include "sync.h"
 
@@ -22,22 +23,8 @@
     UNHEARD_EVERY = 10     /* rounds between words to one that is silent */
 };
 
-void
-FrPeer_DropLoads(FrPeer *peer)
-{
-    for (int i = 0; i < peer->load_count; i++) {
-        BkUp *up = peer->loads[i].up;
-        up->others_running -= peer->loads[i].running;
-        up->others_prompt -= peer->loads[i].prompt;
-        BkUp_Unref(up);
-    }
-    free(peer->loads);
-    peer->loads = NULL;
-    peer->load_count = 0;
-}
-
-static FrPeer *
-find_peer(const FrPeers *peers, BkStr name)
+FrPeer *
+FrPeers_Find(const FrPeers *peers, BkStr name)
 {
     for (int i = 0; i < peers->count; i++) {
         if (BkStr_Equal(BkStr_FromC(peers->list[i]->name), name)) {
@@ -65,7 +52,7 @@
         BkStr_Equal(address, BkStr_FromC(peers->front->conf.peers))) {
         return NULL;
     }
-    FrPeer *peer = name.len > 0 ? find_peer(peers, name) : NULL;
+    FrPeer *peer = name.len > 0 ? FrPeers_Find(peers, name) : NULL;
     if (peer == NULL) {
         peer = find_address(peers, address);
     }
@@ -91,8 +78,8 @@
     return peer;
 }
 
-static bool
-heard_lately(const FrPeer *peer, BkMs now)
+bool
+FrPeer_IsHeard(const FrPeer *peer, BkMs now)
 {
     return peer->heard != BK_MS_NEVER && now - peer->heard < HEARD_LATELY;
 }
@@ -120,7 +107,7 @@
 FrPeers_AnySeesStore(const FrPeers *peers, BkMs now)
 {
     for (int i = 0; i < peers->count; i++) {
-        if (peers->list[i]->store && heard_lately(peers->list[i], now)) {
+        if (peers->list[i]->store && FrPeer_IsHeard(peers->list[i], now)) {
             return true;
         }
     }
@@ -150,22 +137,6 @@
     return peers->count + 1;
 }
 
-static void
-fill_loads(const FrFront *front, bkp_news *news, bkp_load *loads)
-{
-    u_int n = 0;
-
-    for (int i = 0; i < front->fleet.count && n < BKP_MAX_LOADS; i++) {
-        const BkUp *up = front->fleet.ups[i];
-        if (up->own_running > 0) {
-            loads[n++] = (bkp_load){up->key, (u_int)up->own_running,
-                                    (u_int)up->own_prompt};
-        }
-    }
-    news->loads.loads_len = n;
-    news->loads.loads_val = loads;
-}
-
 static void
 fill_leaving(const FrFront *front, bkp_news *news, bkp_leaving *leaving)
 {
@@ -191,7 +162,7 @@
     for (int i = 0; i < BKP_MAX_MEMBERS && peers->count > 0; i++) {
         FrPeer *peer = peers->list[BkRng_Below(&peers->front->rng,
                                                (uint32_t)peers->count)];
-        if (heard_lately(peer, now)) {
+        if (FrPeer_IsHeard(peer, now)) {
             members[n++] = (bkp_member){peer->name, peer->address};
         }
     }
@@ -218,7 +189,8 @@
                        .stopping = front->stopping,
                        .store = !FrSync_IsIll(front->sync)};
     FrPlanner_FillNews(front->planner, news, parts->begun);
-    fill_loads(front, news, parts->loads);
+    news->loads.loads_len = FrLoads_Fill(front, parts->loads);
+    news->loads.loads_val = parts->loads;
     fill_leaving(front, news, parts->leaving);
     fill_members(peers, news, parts->members);
 }
@@ -254,7 +226,7 @@
     }
     for (int i = 0; i < peers->count && told < TOLD_A_ROUND; i++) {
         const FrPeer *peer = peers->list[peers->next++ % peers->count];
-        if (!heard_lately(peer, now) && peers->round % UNHEARD_EVERY != 0) {
+        if (!FrPeer_IsHeard(peer, now) && peers->round % UNHEARD_EVERY != 0) {
             continue;
         }
         BkDatagram_Send(peers->datagram, peer->address, BKP_NEWS, &news);
@@ -265,7 +237,7 @@
 bool
 FrPeers_SendPlanner(FrPeers *peers, int proc, const void *message)
 {
-    FrPeer *peer = find_peer(peers, BkStr_FromC(peers->planner));
+    FrPeer *peer = FrPeers_Find(peers, BkStr_FromC(peers->planner));
 
     if (peer == NULL || peers->planner[0] == '\0') {
         return false;
@@ -274,44 +246,25 @@
                            message) == BK_OK;
 }
 
+void
+FrPeers_Send(FrPeers *peers, const FrPeer *peer, int proc, const void *message)
+{
+    BkDatagram_Send(peers->datagram, peer->address, (rpcproc_t)proc, message);
+}
+
 void
 FrPeers_SendAll(FrPeers *peers, int proc, const void *message)
 {
     BkMs now = BkClock_Now();
 
     for (int i = 0; i < peers->count; i++) {
-        if (heard_lately(peers->list[i], now)) {
+        if (FrPeer_IsHeard(peers->list[i], now)) {
             BkDatagram_Send(peers->datagram, peers->list[i]->address,
                             (rpcproc_t)proc, message);
         }
     }
 }
 
-static void
-take_loads(FrPeers *peers, FrPeer *peer, const bkp_news *news)
-{
-    FrFront *front = peers->front;
-    u_int count = news->loads.loads_len;
-
-    FrPeer_DropLoads(peer);
-    if (count == 0) {
-        return;
-    }
-    peer->loads = BkMem_New(count, sizeof(*peer->loads));
-    for (u_int i = 0; i < count; i++) {
-        const bkp_load *load = &news->loads.loads_val[i];
-        BkUp *up = BkFleet_FindKey(&front->fleet, load->up);
-        if (up == NULL) {
-            continue;
-        }
-        FrPeerLoad *kept = &peer->loads[peer->load_count++];
-        *kept = (FrPeerLoad){BkUp_Ref(up), (int)load->running,
-                             (int64_t)load->prompt};
-        up->others_running += kept->running;
-        up->others_prompt += kept->prompt;
-    }
-}
-
 static void
 take_leaving(FrFront *front, const bkp_news *news, BkMs now)
 {
@@ -358,7 +311,7 @@
     if (peer == NULL || (peer->born > news->born && peer->born != 0)) {
         return; /* its own, or from before the peer's restart */
     }
-    if (!heard_lately(peer, now)) {
+    if (!FrPeer_IsHeard(peer, now)) {
         BkLog_Event(BK_LOG_INFO, "peers", NULL, "peer heard", "s:s, s:I",
                     "name", news->name, "born", (json_int_t)news->born);
     }
@@ -366,7 +319,7 @@
     peer->heard = now;
     peer->stopping = news->stopping != 0;
     peer->store = news->store != 0;
-    take_loads(peers, peer, news);
+    FrLoads_Take(front, peer, news->loads.loads_val, news->loads.loads_len);
     take_leaving(front, news, now);
     take_planner(peers, news, now);
     for (u_int i = 0; i < news->members.members_len; i++) {
@@ -377,6 +330,30 @@
     FrQueue_WakeSoon(front, 0);
 }
 
+static void
+take_ask(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrKeeper_TakeAsk(peers->front->keeper, message, BkClock_Now());
+}
+
+static void
+take_grant(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrKeeper_TakeGrant(peers->front->keeper, message, BkClock_Now());
+}
+
+static void
+take_told(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrKeeper_TakeTold(peers->front->keeper, message);
+}
+
 static void
 take_reports(const void *message, const char *from, void *arg)
 {
@@ -415,13 +392,17 @@
 }
 
 static const BkDatagramProc procs[] = {
+    {BKP_ASK, "ask", (xdrproc_t)xdr_bkp_ask, sizeof(bkp_ask), take_ask},
     {BKP_CHANGES, "changes", (xdrproc_t)xdr_bkp_changes, sizeof(bkp_changes),
      take_changes},
     {BKP_DEMANDS, "demands", (xdrproc_t)xdr_bkp_demands, sizeof(bkp_demands),
      take_demands},
+    {BKP_GRANT, "grant", (xdrproc_t)xdr_bkp_grant, sizeof(bkp_grant),
+     take_grant},
     {BKP_NEWS, "news", (xdrproc_t)xdr_bkp_news, sizeof(bkp_news), take_news},
     {BKP_REPORTS, "reports", (xdrproc_t)xdr_bkp_reports, sizeof(bkp_reports),
      take_reports},
+    {BKP_TOLD, "told", (xdrproc_t)xdr_bkp_told, sizeof(bkp_told), take_told},
     {BKP_WISH, "wish", (xdrproc_t)xdr_bkp_wish, sizeof(bkp_wish), take_wish},
 };
 
@@ -517,6 +498,7 @@
     }
     for (int i = 0; i < peers->count; i++) {
         FrPeer_DropLoads(peers->list[i]);
+        free(peers->list[i]->loads);
         free(peers->list[i]->name);
         free(peers->list[i]->address);
         free(peers->list[i]);
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -19,7 +19,7 @@
     int64_t prompt;
 } FrPeerLoad;
 
-typedef struct FrPeer {
+struct FrPeer {
     char *name;
     char *address; /* "ip:port" of its datagrams */
     uint64_t born; /* 0: not heard of yet */
@@ -28,7 +28,10 @@
     bool store; /* the store answers it */
     FrPeerLoad *loads;
     int load_count;
-} FrPeer;
+    int load_cap;
+    int lost_asks;   /* questions in a row that it did not answer */
+    BkMs deaf_until; /* it is not asked until then */
+};
 
 struct FrPeers {
     FrFront *front;
@@ -56,6 +59,10 @@
 /* Sends a message to the planner; false if none is known. */
 bool FrPeers_SendPlanner(FrPeers *peers, int proc, const void *message);
 
+/* Sends a message to this one. */
+void FrPeers_Send(FrPeers *peers, const FrPeer *peer, int proc,
+                  const void *message);
+
 /* Sends a message to all that were heard of lately. */
 void FrPeers_SendAll(FrPeers *peers, int proc, const void *message);
 
@@ -80,6 +87,18 @@
 
 /* Adds a seed or member; the name may be "" until it is heard. */
 FrPeer *FrPeers_Add(FrPeers *peers, BkStr name, BkStr address);
+FrPeer *FrPeers_Find(const FrPeers *peers, BkStr name);
+bool FrPeer_IsHeard(const FrPeer *peer, BkMs now);
+
+/* loads.c: own loads, for others; at most BKP_MAX_LOADS, returns how many */
+u_int FrLoads_Fill(const FrFront *front, bkp_load *loads);
+
+/* All that the peer has at upstreams, in place of what it told before. */
+void FrLoads_Take(FrFront *front, FrPeer *peer, const bkp_load *loads,
+                  u_int count);
+
+/* What the peer has at one of them. */
+void FrLoads_Set(FrFront *front, FrPeer *peer, const bkp_load *load);
 void FrPeer_DropLoads(FrPeer *peer);
 
 /* members.c: the table of daemons */
--- a/src/front/relay.c
+++ b/src/front/relay.c
@@ -1,5 +1,6 @@
-#include "relay.h"
+#include "keeper.h"
 #include "planner.h"
+#include "relay.h"
 
 #include <stdlib.h>
 
@@ -34,6 +35,8 @@
         relay->unread = false;
     }
     up->own_running--;
+    FrKeeper_Forget(relay->front->keeper, relay);
+    FrKeeper_NoteChange(relay->front->keeper, up);
     relay->up = NULL;
     BkUp_Unref(up);
     FrQueue_WakeSoon(relay->front, 0);
@@ -56,19 +59,20 @@
 
     BkLog_Event(
         BK_LOG_INFO, "relay", relay->id, "answered",
-        "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, "
-        "s:I, s:I, s:I",
+        "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
+        "s:I, s:I, s:I, s:I",
         "route", relay->route, "service", relay->service, "model",
         relay->model, "adapter", relay->adapter, "code", code, "why",
         relay->why, "upstream", relay->last_up, "sends", relay->sends, "runs",
-        relay->runs, "sent_ms",
+        relay->runs, "prompt", (json_int_t)relay->query.prompt, "sent_ms",
         (json_int_t)(relay->sends > 0 ? relay->sent_at - relay->started : -1),
         "first_ms",
         (json_int_t)(relay->first_sent ? relay->first_at - relay->started
                                        : -1),
         "last_ms",
         (json_int_t)(relay->first_sent ? relay->last_at - relay->started : -1),
-        "took_ms", (json_int_t)(now - relay->started), "config",
+        "pause_ms", (json_int_t)relay->longest_pause, "took_ms",
+        (json_int_t)(now - relay->started), "config",
         (json_int_t)(relay->front->site == NULL
                          ? 0
                          : relay->front->site->version));
--- a/src/front/relay.h
+++ b/src/front/relay.h
@@ -26,6 +26,13 @@
 /* The upstream answers; what it did before is forgiven. */
 void FrRelay_ClearBlame(BkUp *up);
 
+/* The keeper of its upstream says whether it may be sent there. */
+void FrRelay_TakeGrant(FrRelay *relay, bool granted, BkMs now);
+
+/* Whether the engine has no place for a prompt of so many tokens. */
+bool FrRelay_IsEngineFull(const FrFront *front, const BkUp *up,
+                          int64_t prompt);
+
 /* Until the deadline, or the time to try another upstream. */
 void FrRelay_ArmTimer(FrRelay *relay, BkMs now);
 void FrRelay_TimeIsUp(void *arg);
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -226,3 +226,43 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_ask (XDR *xdrs, bkp_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->prompt))
+		 return FALSE;
+	 if (!xdr_bkp_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_grant (XDR *xdrs, bkp_grant *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->granted))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_told (XDR *xdrs, bkp_told *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, BKP_NAME))
+		 return FALSE;
+	 if (!xdr_bkp_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -121,6 +121,25 @@
     bkp_row rows<BKP_MAX_ROWS>;
 };
 
+/* may a request be sent to the upstream? to its keeper */
+struct bkp_ask {
+    string name<BKP_NAME>;
+    unsigned int number;          /* of the question, in the answer again */
+    unsigned int prompt;          /* tokens */
+    bkp_load load;                /* of the one that asks, with this request */
+};
+
+struct bkp_grant {
+    unsigned int number;
+    int granted;                  /* 0: the upstream is full */
+};
+
+/* what a daemon has at an upstream now, for its keeper */
+struct bkp_told {
+    string name<BKP_NAME>;
+    bkp_load load;
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_NEWS(bkp_news) = 1;
@@ -128,5 +147,8 @@
         void BKP_WISH(bkp_wish) = 3;
         void BKP_CHANGES(bkp_changes) = 4;
         void BKP_REPORTS(bkp_reports) = 5;
+        void BKP_ASK(bkp_ask) = 6;
+        void BKP_GRANT(bkp_grant) = 7;
+        void BKP_TOLD(bkp_told) = 8;
     } = 1;
 } = 0x20426b02;
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -50,19 +50,26 @@
     return now < up->avoid_until ? 1 : 0;
 }
 
+bool
+BkPick_IsEngineFull(const BkPickConf *conf, const BkUp *up, int64_t prompt)
+{
+    int64_t unread = up->own_prompt + up->others_prompt;
+
+    return up->own_running + up->others_running >= up->slots ||
+           (unread > 0 && unread + prompt > conf->window);
+}
+
 static bool
-is_full(const BkPickConf *conf, const BkPickQuery *query, const BkUp *up)
+is_full(const BkPickConf *conf, const BkPickQuery *query, const BkUp *up,
+        BkMs now)
 {
     int running = up->own_running + up->others_running;
-    int64_t unread = up->own_prompt + up->others_prompt;
 
     if (query->engine == NULL) {
         return running >= (int)(conf->full * up->slots + 0.5);
     }
-    if (running >= up->slots) {
-        return true;
-    }
-    return unread > 0 && unread + query->prompt > conf->window;
+    return now < up->full_until ||
+           BkPick_IsEngineFull(conf, up, query->prompt);
 }
 
 /* Rendezvous hashing: daemons that hold the same view agree on the engine of
@@ -138,7 +145,7 @@
 
     for (int i = 0; i < fleet->count; i++) {
         BkUp *up = fleet->ups[i];
-        if (!could_serve(query, up, &tally) || is_full(conf, query, up)) {
+        if (!could_serve(query, up, &tally) || is_full(conf, query, up, now)) {
             continue;
         }
         int rank = rank_of(up, now);
