front: go on behind the caller's own event with one field

Cause: Last-Event-Id of a caller that goes on with a stream was passed on as it came, and when the new run was cut the daemon's own was added behind it. An engine that takes the first of the two begins too early.

Now the field is the daemon's to set; it begins with what the caller says. front_caller_resumes failed before ("id: 6" twice).

--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -111,7 +111,8 @@
     }
     relay->until = relay->started + wait;
     relay->patience = find_patience(relay, route, wait);
-    relay->has_event = false;
+    relay->has_event = says->resumes;
+    relay->last_event = says->last_event;
     relay->why = "in progress";
     relay->length = -1;
     snprintf(relay->id, sizeof(relay->id), "%.*s", BK_STR_ARG(says->id));
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -263,7 +263,7 @@
     BkMs last_at;
     BkMs longest_pause; /* between two pieces of a stream */
     bool has_event;
-    uint64_t last_event; /* passed on whole */
+    uint64_t last_event; /* passed on whole, or that the caller has */
     const char *why;     /* a constant: what decided the outcome */
 
     BkMs wished_at; /* an adapter was asked for */
--- a/tests/proof/case_front.py
+++ b/tests/proof/case_front.py
@@ -359,7 +359,8 @@
 def flow(last, cut=None, end=lambda sock: False):
     """Events up to last, behind the one asked for; or cut at a byte."""
     def act(asked, sock):
-        first = int(asked.fields.get("last-event-id", 0)) + 1
+        # as engines do that take the first field of a name
+        first = int((asked.all("last-event-id") or [0])[0]) + 1
         data = events(first, last)
         if cut is None:
             sock.sendall(begin(asked) + chunk(data) + b"0\r\n\r\n")
@@ -404,6 +405,32 @@
                 Caller(front).ask("/safe/")[0] == 200)[1])
 
 
+@case
+def front_caller_resumes(world):
+    """A caller goes on behind an event that it has. If the new run is cut
+    too, the next one goes on behind the last event that came, by a single
+    field."""
+    _, ups, front = serve(world)
+    whole = events(6, 9)
+    for cut in (1, len(events(6, 6)), len(events(6, 8)) + 3):
+        act = first_then(flow(9, cut), flow(9))
+        for up in ups:
+            up.plays = [act]
+            up.runs.clear()
+        _, _, body, complete = Caller(front).ask("/again/", b"",
+                                                 Last_Event_Id="5")
+        check((body, complete) == (whole, True), "cut at %d: %r", cut, body)
+        for run in runs(ups):
+            check(len(run.all("last-event-id")) == 1, "cut at %d: %s", cut,
+                  run.all("last-event-id"))
+        wait("no upstream is avoided", lambda: (
+            [play(up) for up in ups],
+            Caller(front).ask("/safe/")[0] == 200)[1])
+    code, _, body, _ = Caller(front).ask("/flow/", b"", Last_Event_Id="5")
+    check(code == 200, "%s", code)
+    check(runs(ups)[-1].all("last-event-id") == ["5"], "passed on once")
+
+
 @case
 def front_deadlines(world):
     """An upstream is told what is left of the time, and at the route's time
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -157,11 +157,16 @@
 class Asked:
     """A request as an upstream got it."""
 
-    def __init__(self, line, fields, body):
-        self.method, self.target = line.split(" ")[:2]
-        self.fields, self.body = fields, body
+    def __init__(self, lines, fields, body):
+        self.method, self.target = lines[0].split(" ")[:2]
+        self.lines, self.fields, self.body = lines, fields, body
         self.id = fields.get("x-request-id", "")
 
+    def all(self, name):
+        """Values of all fields of this name."""
+        return [x.split(":", 1)[1].strip() for x in self.lines[1:]
+                if x.split(":")[0].lower() == name]
+
 
 def sealed(asked, body=b"ok", code=200, fields=""):
     """A whole answer."""
@@ -226,7 +231,7 @@
                 length = int(fields.get("content-length", 0))
                 while len(rest) < length:
                     rest += connection.recv(65536)
-                asked = Asked(lines[0], fields, rest[:length])
+                asked = Asked(lines, fields, rest[:length])
                 rest = rest[length:]
                 if self.answer(asked, connection) is False:
                     return
