--- a/src/front/conf.c
+++ b/src/front/conf.c
@@ -47,7 +47,7 @@
          "repeats in a window besides, over all daemons"),
     SPEC("retries", "window", BK_SET_MS, retry_window, "10s", 100, 600000,
          "window of the limit of repeats"),
-    SPEC("routing", "window", BK_SET_INT, pick_window, "1800", 1, 1000000,
+    SPEC("routing", "window", BK_SET_INT, pick_window, "2600", 1, 1000000,
          "tokens of unread prompts on one engine"),
     SPEC("routing", "per_run", BK_SET_INT, pick_per_run, "60", 0, 100000,
          "tokens that a running request counts for"),
--- a/tests/proof/case_front_keeper.py
+++ b/tests/proof/case_front_keeper.py
@@ -7,7 +7,7 @@
 from platform_standins import Caller, sealed
 
 FRONTS = 3
-WINDOW = 1800  # tokens of unread prompts, the default of the settings
+WINDOW = 2600  # tokens of unread prompts, the default of the settings
 
 
 class Reading:
