queue: refuse behind others in time, and let the late give way

Now the pace at which requests of a kind leave the queue gives each its turn, and one whose turn comes too late is refused at once, with the time of the turn as Retry-After. One that is late already gives way to one, as urgent, that can still be on time.

--- a/include/bk/wait/wait.h
+++ b/include/bk/wait/wait.h
@@ -6,6 +6,9 @@
  * prospect is refused at once, and told when to come back: when the model is
  * expected to be loaded, or spread over a short time when engines are full,
  * so that those who were refused together do not return together.
+ *
+ * Where engines are full, the prospect comes from the pace at which requests
+ * of the same kind left the queue lately, and how many are before this one.
  */
 #ifndef BK_WAIT_WAIT_H
 #define BK_WAIT_WAIT_H
@@ -27,14 +30,23 @@
     BkMs full_return;    /* Retry-After when engines are full, and as much more
                          at random */
     double return_share; /* of the time left that callers wait at most */
+    double trust;        /* share of a time worked out from the pace that is
+                            believed when a request is refused for it */
 } BkWaitConf;
 
+/* How fast requests of one kind leave the queue. */
+typedef struct BkPace {
+    BkMs since;      /* the last one left, or the first began to wait */
+    double interval; /* ms between two, smoothed; 0: none left yet */
+} BkPace;
+
 typedef struct BkWaitCase {
     BkWaitCause cause;
     BkMs waited;   /* so far */
     BkMs patience; /* from the start, that the caller waits for a first byte */
     BkMs left;     /* until its deadline */
     BkMs ready_in; /* until its model is expected; -1: not known */
+    BkMs turn_in;  /* until those before it have left; -1: not known */
     bool planner;  /* there is one */
     double draw;   /* uniform in [0, 1), for the spread */
 } BkWaitCase;
@@ -44,6 +56,15 @@
     BkMs retry_after;
 } BkWaitVerdict;
 
+/* One begins to wait while no other of its kind does. */
+void BkPace_Begin(BkPace *pace, BkMs now);
+
+/* One of those that waited is sent. */
+void BkPace_NoteSend(BkPace *pace, BkMs now);
+
+/* ms until one with so many before it is sent; -1: not known */
+BkMs BkPace_Expect(const BkPace *pace, int before, BkMs now);
+
 BkWaitVerdict BkWait_Judge(const BkWaitConf *conf, const BkWaitCase *wait);
 
 #endif
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -90,6 +90,10 @@
         FrPlanner_NoteUse(front->planner, up, relay->query.model,
                           relay->query.adapter);
     }
+    if (relay->waited) {
+        relay->waited = false;
+        BkPace_NoteSend(&FrPace_Find(front, &relay->query)->pace, now);
+    }
     relay->sends++;
     relay->sent_at = now;
     if (relay->stage == FR_WAITING) {
@@ -163,30 +167,48 @@
                                      .decide = 1200,
                                      .no_planner = 3000,
                                      .full_return = 400,
-                                     .return_share = 0.33};
+                                     .return_share = 0.33,
+                                     .trust = 0.7};
 
-/* true if it was refused */
-static bool
-wait_or_refuse(FrRelay *relay, BkWaitCause cause, BkMs now)
+BkWaitVerdict
+FrRelay_Judge(FrRelay *relay, int before, BkMs now)
 {
-    static const char *const whys[] = {"those that could serve it are full",
-                                       "its adapter is not at hand",
-                                       "no engine holds its model"};
     FrFront *front = relay->front;
-    BkWaitCase wait = {.cause = cause,
+    const FrPace *row = FrPace_Find(front, &relay->query);
+    BkWaitCase wait = {.cause = relay->cause,
                        .waited = now - relay->started,
                        .patience = relay->patience,
                        .left = relay->until - now,
                        .ready_in = FrComing_In(front, relay->query.model, now),
+                       .turn_in = BkPace_Expect(&row->pace, before, now),
                        .planner = FrPeers_HasPlanner(front->peers, now),
                        .draw = BkRng_Unit(&front->rng)};
-    BkWaitVerdict verdict = BkWait_Judge(&wait_conf, &wait);
 
+    return BkWait_Judge(&wait_conf, &wait);
+}
+
+void
+FrRelay_GiveUpWaiting(FrRelay *relay, BkMs retry_after)
+{
+    static const char *const whys[] = {"those that could serve it are full",
+                                       "its adapter is not at hand",
+                                       "no engine holds its model"};
+
+    FrRelay_GiveUp(relay, whys[relay->cause], retry_after);
+}
+
+/* true if it was refused */
+static bool
+wait_or_refuse(FrRelay *relay, BkWaitCause cause, BkMs now)
+{
+    relay->cause = cause;
+    FrQueue_Add(relay);
+    BkWaitVerdict verdict =
+        FrRelay_Judge(relay, FrQueue_CountBefore(relay), now);
     if (!verdict.refuse) {
-        FrQueue_Add(relay);
         return false;
     }
-    FrRelay_GiveUp(relay, whys[cause], verdict.retry_after);
+    FrRelay_GiveUpWaiting(relay, verdict.retry_after);
     return true;
 }
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -25,6 +25,7 @@
 #include "bk/pick/pick.h"
 #include "bk/site/site.h"
 #include "bk/store/store.h"
+#include "bk/wait/wait.h"
 
 typedef struct FrFront FrFront;
 typedef struct FrCaller FrCaller;
@@ -39,9 +40,17 @@
 enum {
     FR_REQUEST_ID_BYTES = 128,
     FR_MAX_SERVICES = 64, /* with a retry budget of their own */
-    FR_MAX_COMING = 64    /* models that are being loaded */
+    FR_MAX_COMING = 64,   /* models that are being loaded */
+    FR_MAX_PACES = 64     /* kinds of requests that wait */
 };
 
+/* How fast the requests for a model leave the queue. */
+typedef struct FrPace {
+    uint32_t service;
+    uint32_t model;
+    BkPace pace;
+} FrPace;
+
 typedef struct FrServiceBudget {
     uint32_t service;
     BkBudget budget;
@@ -85,6 +94,8 @@
     int budget_count;
     FrComing coming[FR_MAX_COMING];
     int coming_count;
+    FrPace paces[FR_MAX_PACES];
+    int pace_count;
 
     int listen_fd;
     BkWatch *listen_watch;
@@ -269,6 +280,8 @@
     BkMs wished_at; /* an adapter was asked for */
     bool not_held;  /* it waits since no engine holds its model */
     bool queued;
+    bool waited;       /* in the queue, since the last attempt */
+    BkWaitCause cause; /* why it waits */
     FrRelay *queue_prev;
     FrRelay *queue_next;
     FrRelay *prev;
@@ -315,6 +328,9 @@
 /* queue.c */
 void FrQueue_Add(FrRelay *relay);
 void FrQueue_Remove(FrRelay *relay);
+
+/* Requests for the same model that are served before this one. */
+int FrQueue_CountBefore(const FrRelay *relay);
 void FrQueue_WakeSoon(FrFront *front, BkMs after);
 
 /* Refuses all that wait: none of them has run. */
@@ -323,6 +339,9 @@
 /* Tries those that wait, in their order; arg is the front. */
 void FrQueue_Look(void *arg);
 
+/* pace.c: how fast those that wait are sent */
+FrPace *FrPace_Find(FrFront *front, const BkPickQuery *query);
+
 /* coming.c: when models that nobody holds are expected */
 void FrComing_Note(FrFront *front, uint32_t model, BkMs at);
 
--- /dev/null
+++ b/src/front/pace.c
@@ -0,0 +1,22 @@
+#include "front.h"
+
+FrPace *
+FrPace_Find(FrFront *front, const BkPickQuery *query)
+{
+    FrPace *oldest = &front->paces[0];
+
+    for (int i = 0; i < front->pace_count; i++) {
+        FrPace *row = &front->paces[i];
+        if (row->service == query->service && row->model == query->model) {
+            return row;
+        }
+        if (row->pace.since < oldest->pace.since) {
+            oldest = row;
+        }
+    }
+    if (front->pace_count < FR_MAX_PACES) {
+        oldest = &front->paces[front->pace_count++];
+    }
+    *oldest = (FrPace){.service = query->service, .model = query->model};
+    return oldest;
+}
--- a/src/front/queue.c
+++ b/src/front/queue.c
@@ -1,8 +1,10 @@
-#include "front.h"
+#include "relay.h"
 
 enum {
-    MAX_KINDS = 32, /* of requests that one look at the queue tells apart */
-    LOOK_EVERY = 20 /* ms between looks while somebody waits */
+    FIRST_BYTE = 60,  /* ms that an engine takes to it, at best */
+    MAX_KINDS = 32,   /* of requests that one look at the queue tells apart */
+    MAX_REFUSED = 32, /* in one look; the others in the next one */
+    LOOK_EVERY = 20   /* ms between looks while somebody waits */
 };
 
 /* What makes two waiting requests alike: if one found no place, the other
@@ -23,6 +25,36 @@
     return a->started + a->target < b->started + b->target;
 }
 
+static bool
+is_alike(const FrRelay *a, const FrRelay *b)
+{
+    return a->query.service == b->query.service &&
+           a->query.model == b->query.model;
+}
+
+int
+FrQueue_CountBefore(const FrRelay *relay)
+{
+    int count = 0;
+
+    for (const FrRelay *at = relay->queue_prev; at != NULL;
+         at = at->queue_prev) {
+        count += is_alike(at, relay) ? 1 : 0;
+    }
+    return count;
+}
+
+static bool
+any_alike(const FrRelay *relay)
+{
+    const FrRelay *at = relay->front->waiting;
+
+    while (at != NULL && !is_alike(at, relay)) {
+        at = at->queue_next;
+    }
+    return at != NULL;
+}
+
 void
 FrQueue_Add(FrRelay *relay)
 {
@@ -33,6 +65,13 @@
     if (relay->queued) {
         return;
     }
+    if (!relay->waited) {
+        relay->waited = true;
+        if (!any_alike(relay)) {
+            BkPace_Begin(&FrPace_Find(front, &relay->query)->pace,
+                         BkClock_Now());
+        }
+    }
     while (after != NULL && !goes_before(relay, after)) {
         before = after;
         after = after->queue_next;
@@ -89,18 +128,105 @@
     return false;
 }
 
+static bool
+is_late(const FrRelay *relay, BkMs now)
+{
+    return now + FIRST_BYTE > relay->started + relay->target;
+}
+
+/* One that is late already gives way to one as urgent, of its kind, that can
+   still be answered within its objective. */
+static FrRelay *
+prefer_timely(FrRelay *first)
+{
+    BkMs now = BkClock_Now();
+    WaitKind kind = {first->query.service, first->query.model,
+                     first->query.adapter};
+
+    if (!is_late(first, now)) {
+        return first;
+    }
+    for (FrRelay *at = first->queue_next;
+         at != NULL && at->priority == first->priority; at = at->queue_next) {
+        if (is_known(&kind, 1, at) && !is_late(at, now)) {
+            return at;
+        }
+    }
+    return first;
+}
+
 /* Dispatching may end or queue requests; each look starts from the head. */
 static FrRelay *
 find_next(FrFront *front, const WaitKind *kinds, int count)
 {
     for (FrRelay *at = front->waiting; at != NULL; at = at->queue_next) {
         if (!is_known(kinds, count, at)) {
-            return at;
+            return prefer_timely(at);
         }
     }
     return NULL;
 }
 
+typedef struct Hopeless {
+    FrRelay *relay;
+    BkMs retry_after;
+} Hopeless;
+
+/* how many of a service's model were passed in a walk from the head */
+typedef struct Passed {
+    uint32_t service;
+    uint32_t model;
+    int count;
+} Passed;
+
+typedef struct Walk {
+    Passed rows[MAX_KINDS];
+    int count;
+} Walk;
+
+/* those of its kind that were passed before; kinds beyond the table count
+   as first, and are looked at again when they are */
+static int
+pass(Walk *walk, const FrRelay *relay)
+{
+    for (int i = 0; i < walk->count; i++) {
+        Passed *row = &walk->rows[i];
+        if (row->service == relay->query.service &&
+            row->model == relay->query.model) {
+            return row->count++;
+        }
+    }
+    if (walk->count < MAX_KINDS) {
+        walk->rows[walk->count++] =
+            (Passed){relay->query.service, relay->query.model, 1};
+    }
+    return 0;
+}
+
+/* refuses those whose turn would come too late, also behind others */
+static void
+refuse_hopeless(FrFront *front)
+{
+    Hopeless list[MAX_REFUSED];
+    Walk walk = {.count = 0};
+    BkMs now = BkClock_Now();
+    int count = 0;
+
+    for (FrRelay *at = front->waiting; at != NULL && count < MAX_REFUSED;
+         at = at->queue_next) {
+        BkWaitVerdict verdict = FrRelay_Judge(at, pass(&walk, at), now);
+        if (verdict.refuse) {
+            list[count++] = (Hopeless){at, verdict.retry_after};
+        }
+    }
+    for (int i = 0; i < count; i++) {
+        /* the answer to one may let another caller go */
+        if (list[i].relay->queued) {
+            FrRelay_GiveUpWaiting(list[i].relay, list[i].retry_after);
+        }
+    }
+}
+
 void
 FrQueue_Look(void *arg)
 {
@@ -119,6 +245,7 @@
             kinds[count++] = kind;
         }
     }
+    refuse_hopeless(front);
     if (front->waiting != NULL) {
         FrQueue_WakeSoon(front, LOOK_EVERY);
     }
--- a/src/front/relay.h
+++ b/src/front/relay.h
@@ -33,6 +33,12 @@
 bool FrRelay_IsEngineFull(const FrFront *front, const BkUp *up,
                           int64_t prompt);
 
+/* Whether one that waits has a prospect, with so many before it. */
+BkWaitVerdict FrRelay_Judge(FrRelay *relay, int before, BkMs now);
+
+/* Ends it for want of a prospect. */
+void FrRelay_GiveUpWaiting(FrRelay *relay, BkMs retry_after);
+
 /* Until the deadline, or the time to try another upstream. */
 void FrRelay_ArmTimer(FrRelay *relay, BkMs now);
 void FrRelay_TimeIsUp(void *arg);
--- a/src/wait/wait.c
+++ b/src/wait/wait.c
@@ -6,7 +6,7 @@
 {
     switch (wait->cause) {
     case BK_WAIT_FULL:
-        return -1;
+        return wait->turn_in;
     case BK_WAIT_ADAPTER:
         return wait->planner ? -1 : conf->no_planner;
     case BK_WAIT_MODEL:
@@ -22,6 +22,17 @@
     return -1;
 }
 
+/* a time that is only worked out refuses nobody by a little */
+static BkMs
+believe(const BkWaitConf *conf, const BkWaitCase *wait, BkMs expected)
+{
+    if (expected < 0) {
+        return 0;
+    }
+    return wait->cause == BK_WAIT_FULL ? (BkMs)(conf->trust * (double)expected)
+                                       : expected;
+}
+
 static BkMs
 return_in(const BkWaitConf *conf, const BkWaitCase *wait, BkMs expected)
 {
@@ -38,7 +49,7 @@
 {
     BkMs patience = wait->patience - wait->waited;
     BkMs expected = expect(conf, wait);
-    BkMs needed = (expected < 0 ? 0 : expected) + conf->margin;
+    BkMs needed = believe(conf, wait, expected) + conf->margin;
 
     if (wait->left < patience) {
         patience = wait->left;
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -15,12 +15,12 @@
                       "adapterMb": 1} for name in ("m1", "m2", "m3")]}
 
 
-def engines(world, models, fronts=1):
+def engines(world, models, fronts=1, **keys):
     """Fronts before engines that hold these models."""
     store = Store()
     configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
               ENGINE)
-    ups = [Replica(store, "e-%d" % n, "llm", models=held)
+    ups = [Replica(store, "e-%d" % n, "llm", models=held, **keys)
            for n, held in enumerate(models)]
     daemons = []
     for n in range(fronts):
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -14,7 +14,7 @@
     return strcmp(name, "adapter") == 0 ? BK_WAIT_ADAPTER : BK_WAIT_MODEL;
 }
 
-/* CAUSE waited N patience N left N ready N planner|alone draw N% */
+/* CAUSE waited N patience N left N ready|turn N planner|alone draw N% */
 static void
 run_wait(char **words, int count, BkBuf *out, void *arg)
 {
@@ -23,9 +23,12 @@
                        .waited = atoll(words[2]),
                        .patience = atoll(words[4]),
                        .left = atoll(words[6]),
-                       .ready_in = atoll(words[8]),
+                       .ready_in = -1,
+                       .turn_in = -1,
                        .planner = strcmp(words[9], "planner") == 0,
                        .draw = count > 11 ? atof(words[11]) / 100 : 0};
+    *(strcmp(words[7], "turn") == 0 ? &wait.turn_in : &wait.ready_in) =
+        atoll(words[8]);
     BkWaitVerdict verdict = BkWait_Judge(conf, &wait);
 
     if (verdict.refuse) {
@@ -43,16 +46,44 @@
                        .decide = 1200,
                        .no_planner = 3000,
                        .full_return = 400,
-                       .return_share = 0.33};
+                       .return_share = 0.33,
+                       .trust = 0.5};
 
     BkScript_Run("wait", run_wait, &conf);
 }
 END_TEST
 
+/* begin|send|expect AT [BEFORE] */
+static void
+run_pace(char **words, int count, BkBuf *out, void *arg)
+{
+    BkPace *pace = arg;
+    BkMs at = atoll(words[1]);
+
+    if (strcmp(words[0], "begin") == 0) {
+        BkPace_Begin(pace, at);
+    }
+    else if (strcmp(words[0], "send") == 0) {
+        BkPace_NoteSend(pace, at);
+    }
+    else {
+        BkBuf_Printf(out, "  %lld\n",
+                     (long long)BkPace_Expect(pace, atoi(words[2]), at));
+    }
+}
+
+START_TEST(test_pace)
+{
+    BkPace pace = {0};
+
+    BkScript_Run("pace", run_pace, &pace);
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {test_verdicts};
+    const TTest *const tests[] = {test_verdicts, test_pace};
 
-    return BkUnit_Main("wait", tests, 1);
+    return BkUnit_Main("wait", tests, 2);
 }
