relayed: pass changes on by groups

On 85 VMs each change went from the reader to 84 others, 2.5 KB each: bursts filled links of 10 Mbit/s, whole messages were lost, and those behind asked the store. A reader now tells one daemon in eight, which tells seven others.

state_readers_tell_by_groups failed with groups taken out ("readers told all themselves"). unit held: a message that is kept owns no list of those it was passed to (aborted before).

--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -23,6 +23,7 @@
 #define BKP_MAX_BEGUN 64
 #define BKP_MAX_ROWS 8
 #define BKP_ROW_BYTES 1400
+#define BKP_MAX_PASS 12
 
 struct bkp_load {
 	u_int up;
@@ -149,6 +150,8 @@
 };
 typedef struct bkp_row bkp_row;
 
+typedef char *bkp_address;
+
 struct bkp_reports {
 	char *name;
 	u_quad_t before;
@@ -159,6 +162,10 @@
 		u_int rows_len;
 		bkp_row *rows_val;
 	} rows;
+	struct {
+		u_int pass_to_len;
+		bkp_address *pass_to_val;
+	} pass_to;
 };
 typedef struct bkp_reports bkp_reports;
 
@@ -255,6 +262,7 @@
 extern  bool_t xdr_bkp_change (XDR *, bkp_change*);
 extern  bool_t xdr_bkp_changes (XDR *, bkp_changes*);
 extern  bool_t xdr_bkp_row (XDR *, bkp_row*);
+extern  bool_t xdr_bkp_address (XDR *, bkp_address*);
 extern  bool_t xdr_bkp_reports (XDR *, bkp_reports*);
 extern  bool_t xdr_bkp_ask (XDR *, bkp_ask*);
 extern  bool_t xdr_bkp_grant (XDR *, bkp_grant*);
@@ -273,6 +281,7 @@
 extern bool_t xdr_bkp_change ();
 extern bool_t xdr_bkp_changes ();
 extern bool_t xdr_bkp_row ();
+extern bool_t xdr_bkp_address ();
 extern bool_t xdr_bkp_reports ();
 extern bool_t xdr_bkp_ask ();
 extern bool_t xdr_bkp_grant ();
--- a/src/front/held.c
+++ b/src/front/held.c
@@ -42,6 +42,8 @@
     }
     bkp_reports *kept = &held->messages[held->count++];
     *kept = *reports;
+    kept->pass_to.pass_to_len = 0; /* it is passed on already */
+    kept->pass_to.pass_to_val = NULL;
     kept->name = BkStr_Dup(BkStr_FromC(reports->name));
     kept->rows.rows_val =
         BkMem_New(reports->rows.rows_len, sizeof(*kept->rows.rows_val));
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -252,6 +252,17 @@
     BkDatagram_Send(peers->datagram, peer->address, (rpcproc_t)proc, message);
 }
 
+void
+FrPeers_SendTo(FrPeers *peers, const char *address, int proc,
+               const void *message)
+{
+    const FrPeer *peer = find_address(peers, BkStr_FromC(address));
+
+    if (peer != NULL) {
+        FrPeers_Send(peers, peer, proc, message);
+    }
+}
+
 void
 FrPeers_SendAll(FrPeers *peers, int proc, const void *message)
 {
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -63,6 +63,10 @@
 void FrPeers_Send(FrPeers *peers, const FrPeer *peer, int proc,
                   const void *message);
 
+/* The same by address, "ip:port"; nothing is sent to strangers. */
+void FrPeers_SendTo(FrPeers *peers, const char *address, int proc,
+                    const void *message);
+
 /* Sends a message to all that were heard of lately. */
 void FrPeers_SendAll(FrPeers *peers, int proc, const void *message);
 
--- a/src/front/relayed.c
+++ b/src/front/relayed.c
@@ -10,9 +10,48 @@
     READERS = 2,          /* so that the loss of one is not felt */
     SIGN_EVERY = 350,     /* ms between a reader's signs of life */
     READER_SILENT = 1000, /* ms without any of them until one reads itself */
-    FEED_LAG = 250        /* ms that two daemons' knowledge may differ */
+    FEED_LAG = 250,       /* ms that two daemons' knowledge may differ */
+    DIRECT = 8,           /* daemons that a reader tells itself, all of them */
+    GROUP = 8             /* of more of them: one is told, and tells the
+                             others of the group */
 };
 
+/* Sent to all by a reader alone, a burst of changes fills the reader's link
+   and is lost. Groups begin elsewhere each time, so that one lost daemon does
+   not keep the same others from the news. */
+static void
+send_to_all(FrSync *sync, bkp_reports *reports)
+{
+    const FrPeers *peers = sync->front->peers;
+    BkMs now = BkClock_Now();
+    bkp_address pass_to[GROUP];
+    const FrPeer *head = NULL;
+
+    for (int i = 0; i < peers->count; i++) {
+        const FrPeer *peer =
+            peers->list[(sync->first_told + i) % peers->count];
+        if (!FrPeer_IsHeard(peer, now)) {
+            continue;
+        }
+        if (head == NULL) {
+            head = peer;
+            reports->pass_to.pass_to_len = 0;
+            reports->pass_to.pass_to_val = pass_to;
+        }
+        else {
+            pass_to[reports->pass_to.pass_to_len++] = peer->address;
+        }
+        if (peers->count <= DIRECT ||
+            reports->pass_to.pass_to_len + 1 == GROUP) {
+            FrPeers_Send(sync->front->peers, head, BKP_REPORTS, reports);
+            head = NULL;
+        }
+    }
+    if (head != NULL) {
+        FrPeers_Send(sync->front->peers, head, BKP_REPORTS, reports);
+    }
+}
+
 static void
 send_reports(FrSync *sync, bkp_reports *reports)
 {
@@ -22,7 +61,7 @@
     reports->site = front->site == NULL ? 0 : front->site->version;
     reports->ill = BkClock_Now() < front->fleet.store_ill_until;
     sync->passed_on_at = BkClock_Now();
-    FrPeers_SendAll(front->peers, BKP_REPORTS, reports);
+    send_to_all(sync, reports);
 }
 
 static bool
@@ -92,6 +131,8 @@
 void
 FrRelayed_PassOn(FrSync *sync, const BkStoreReply *reply, uint64_t before)
 {
+    sync->first_told = BkRng_Below(
+        &sync->front->rng, (uint32_t)FrPeers_Count(sync->front->peers));
     for (int i = 0; i < reply->count; i++) {
         if (!fits(&reply->rows[i])) {
             send_gap(sync, &reply->rows[i], reply->version);
@@ -140,11 +181,24 @@
     }
 }
 
+static void
+pass_to_group(FrSync *sync, const bkp_reports *reports)
+{
+    bkp_reports last = *reports;
+
+    last.pass_to.pass_to_len = 0;
+    for (u_int i = 0; i < reports->pass_to.pass_to_len; i++) {
+        FrPeers_SendTo(sync->front->peers, reports->pass_to.pass_to_val[i],
+                       BKP_REPORTS, &last);
+    }
+}
+
 void
 FrRelayed_Take(FrSync *sync, const bkp_reports *reports, BkMs now)
 {
     FrFollower *list = &sync->followers[FR_TOPIC_REPORTS];
 
+    pass_to_group(sync, reports);
     sync->relayed_at = now;
     if (reports->ill) {
         BkFleet_NoteStoreIll(&sync->front->fleet, now);
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -45,11 +45,12 @@
     FrFront *front;
     FrFollower followers[FR_TOPIC_COUNT];
     bool reader;
-    bool ill;           /* the store failed the last call, or was late */
-    FrHeld held;        /* changes that came too early */
-    struct Call *calls; /* of the store, under way */
-    BkMs relayed_at;    /* when a reader was heard */
-    BkMs passed_on_at;  /* as a reader: when others were told */
+    bool ill;            /* the store failed the last call, or was late */
+    FrHeld held;         /* changes that came too early */
+    struct Call *calls;  /* of the store, under way */
+    BkMs relayed_at;     /* when a reader was heard */
+    BkMs passed_on_at;   /* as a reader: when others were told */
+    uint32_t first_told; /* place in the list of peers of the first one told */
 };
 
 /* A row of the reports' table. */
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -206,6 +206,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bkp_address (XDR *xdrs, bkp_address *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, objp, BKP_NAME))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bkp_reports (XDR *xdrs, bkp_reports *objp)
 {
@@ -224,6 +234,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_ROWS,
 		sizeof (bkp_row), (xdrproc_t) xdr_bkp_row))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->pass_to.pass_to_val, (u_int *) &objp->pass_to.pass_to_len, BKP_MAX_PASS,
+		sizeof (bkp_address), (xdrproc_t) xdr_bkp_address))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -13,6 +13,7 @@
 const BKP_MAX_BEGUN = 64;
 const BKP_MAX_ROWS = 8;
 const BKP_ROW_BYTES = 1400;
+const BKP_MAX_PASS = 12;
 
 struct bkp_load {
     unsigned int up;
@@ -109,6 +110,8 @@
     opaque value<BKP_ROW_BYTES>;
 };
 
+typedef string bkp_address<BKP_NAME>; /* "ip:port" for these datagrams */
+
 /* what a daemon that follows the store passes on: the changes of reports
    after the revision before, up to revision; also without any, as a sign of
    life */
@@ -119,6 +122,7 @@
     unsigned hyper site;          /* version of the configuration in force */
     int ill;                      /* the store was away a moment ago */
     bkp_row rows<BKP_MAX_ROWS>;
+    bkp_address pass_to<BKP_MAX_PASS>; /* who gets it from the one told */
 };
 
 /* may a request be sent to the upstream? to its keeper */
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -1,5 +1,6 @@
 """bk-front's state: configuration, reports, leases, orders, recovery."""
 import contextlib
+import re
 import time
 
 from basics import case, check, request, wait
@@ -330,6 +331,46 @@
     all_know(late.id, "listed")
 
 
+@case
+def state_readers_tell_by_groups(world):
+    """With many daemons a reader tells one of a group, which tells the others;
+    all know of each change, also while some daemons are dead."""
+    store, ups, _ = serve(world, 1)
+    fronts = [Front(world, store, "front-%d" % n) for n in range(2, 14)]
+    for front in fronts:
+        front.await_ready()
+    wait("they hear each other", lambda: all(len(
+        {x["name"] for x in front.events("peer heard")}) >= len(fronts)
+        for front in fronts))
+
+    def told(front):
+        text = request(front.ops, "GET", "/metrics")[2].decode()
+        found = re.search(r'messages_total{kind="reports",dir="out"} (\d+)',
+                          text)
+        return int(found.group(1)) if found else 0
+
+    def change(number, live):
+        late = Replica(store, "i-late-%d" % number)
+        wait("all know of %s" % late.id, lambda: all(
+            any(x["id"] == late.id for x in front.events("upstream"))
+            for front in live))
+    def listening(front):
+        return front.events("reader") and not front.events("reader")[-1]["is"]
+    wait("few read", lambda: len(
+        [x for x in fronts if listening(x)]) >= len(fronts) - 3)
+    listeners = [x for x in fronts if listening(x)]
+    before = [told(x) for x in listeners]
+    for n in range(5):
+        change(n, fronts)
+    check([told(x) for x in listeners] != before,
+          "readers told all themselves")
+    for front in listeners[:4]:
+        front.kill()
+    live = [x for x in fronts if x not in listeners[:4]]
+    for n in range(5, 10):
+        change(n, live)
+
+
 @case
 def state_late_feed(world):
     """A reader that hears of a change, too large to be passed on, before its
--- a/tests/unit/test_held.c
+++ b/tests/unit/test_held.c
@@ -10,11 +10,13 @@
 {
     char key[] = "i-1";
     char value[] = "{}";
+    bkp_address next = key; /* kept for nobody, and not to be freed */
     bkp_row row = {.key = key, .revision = revision, .value = {2, value}};
     bkp_reports reports = {.name = key,
                            .before = before,
                            .revision = revision,
-                           .rows = {rows, &row}};
+                           .rows = {rows, &row},
+                           .pass_to = {1, &next}};
 
     FrHeld_Keep(held, &reports);
 }
