sync: ask again at once when others see the store again

The reader's last feed hung for its whole limit, up to 1.5 s of waiting and 2.4 s more, and the others' word of a newer configuration was not acted upon, since "a call failed, another one is on its way" was still set while that one hung.

Now such a word brings the next call forward, also out of a pause, and a call without a byte of answer ends after 600 ms, 1.2 s after failures; only the limit of the whole answer grows further (state_slow_link_to_the_store).

state_silent_store failed before: 3.2 s after the others.

--- a/include/bk/store/store.h
+++ b/include/bk/store/store.h
@@ -60,14 +60,19 @@
 BkStore *BkStore_Create(BkHttpClient *http, const char *address);
 void BkStore_Destroy(BkStore *store);
 
+typedef struct BkStoreLimit {
+    BkMs whole;   /* for the whole call */
+    BkMs silence; /* without a byte of answer; 0: the same */
+} BkStoreLimit;
+
 /* Rows in order of their keys, from the key on (NULL: from the first). */
 void BkStore_Read(BkStore *store, const char *table, const char *from,
-                  BkMs limit, BkStoreFn fn, void *arg);
+                  BkStoreLimit limit, BkStoreFn fn, void *arg);
 
-/* Changes after a version; waits for the first of them up to wait. limit
- * is for the whole call and longer than wait. */
+/* Changes after a version; waits for the first of them up to wait, which both
+ * limits include. */
 void BkStore_Feed(BkStore *store, const char *table, uint64_t after, BkMs wait,
-                  BkMs limit, BkStoreFn fn, void *arg);
+                  BkStoreLimit limit, BkStoreFn fn, void *arg);
 
 void BkStore_Commit(BkStore *store, const char *table,
                     const BkStoreWrite *writes, int count, BkMs limit,
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -202,8 +202,8 @@
     }
     switch (BkLease_Next(&planner->lease, now)) {
     case BK_LEASE_READ:
-        BkStore_Read(planner->front->store, table, NULL, CALL_LIMIT, take_rows,
-                     planner);
+        BkStore_Read(planner->front->store, table, NULL,
+                     (BkStoreLimit){.whole = CALL_LIMIT}, take_rows, planner);
         break;
     case BK_LEASE_CLAIM:
         claim(planner);
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -70,8 +70,8 @@
     }
     peers->calling = true;
     if (peers->row_written) {
-        BkStore_Read(peers->front->store, table, NULL, CALL_LIMIT, take_list,
-                     peers);
+        BkStore_Read(peers->front->store, table, NULL,
+                     (BkStoreLimit){.whole = CALL_LIMIT}, take_list, peers);
     }
     else {
         BkStore_Commit(peers->front->store, table, &row, 1, CALL_LIMIT,
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -161,7 +161,6 @@
     }
     pause = pause == 0 ? PAUSE_FIRST : pause * 2;
     follower->pause = pause < PAUSE_MOST ? pause : PAUSE_MOST;
-    follower->failed = true;
     call_again(follower, follower->pause / 2 +
                              (BkMs)BkRng_Below(&follower->sync->front->rng,
                                                (uint32_t)follower->pause));
@@ -265,7 +264,6 @@
     FrSync_NoteStore(follower->sync, late < SLOW_ANSWER, now);
     follower->pause = 0;
     follower->failures = 0;
-    follower->failed = false;
     if (follower->whole) {
         take_feed(follower, reply, now);
         go_on(follower, reply->count > 0 ? FEED_PAUSE : 0);
@@ -285,6 +283,13 @@
     return limit << follower->failures;
 }
 
+/* without a byte of answer; a store that stood silent has lost the call */
+static BkMs
+silence_limit(const FrFollower *follower)
+{
+    return follower->wait + (CALL_LIMIT << (follower->failures > 0 ? 1 : 0));
+}
+
 static void
 make_call(FrFollower *follower)
 {
@@ -296,10 +301,11 @@
     follower->after = follower->version;
     /* one that is only behind does not wait for further changes */
     follower->wait = follower->whole && follower->sync->reader ? FEED_WAIT : 0;
-    BkMs limit = call_limit(follower);
+    BkStoreLimit limit = {.whole = follower->wait + call_limit(follower),
+                          .silence = silence_limit(follower)};
     if (follower->whole) {
         BkStore_Feed(store, follower->table, follower->version, follower->wait,
-                     follower->wait + limit, take_reply, call);
+                     limit, take_reply, call);
     }
     else {
         BkStore_Read(store, follower->table,
@@ -370,13 +376,12 @@
 {
     FrFollower *follower = &sync->followers[topic];
 
-    /* a feed that waits for changes has missed one; other answers are on
-       their way */
+    /* a feed that waits for changes has missed one, or hangs since the store
+       was away; other answers are on their way */
     bool waits = follower->busy && follower->wait == 0 &&
                  now - follower->called_at < call_limit(follower);
 
-    if (now - follower->hurried_at < HURRY_AGAIN || follower->failed ||
-        waits) {
+    if (now - follower->hurried_at < HURRY_AGAIN || waits) {
         return;
     }
     BkLog_Event(BK_LOG_INFO, "sync", NULL, "behind another daemon", "s:s, s:I",
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -27,7 +27,6 @@
     uint64_t after;   /* version that the present call asks from */
     bool whole;       /* a list has been read; the feed may go on */
     bool busy;        /* a call is under way */
-    bool failed;      /* the last one; another one is on its way */
     bool listing;     /* further parts of a list are on the way */
     char *from;       /* of the next part */
     BkMs called_at;
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -1,5 +1,6 @@
 """bk-front's state: configuration, reports, leases, orders, recovery."""
 import contextlib
+import datetime
 import re
 import time
 
@@ -40,6 +41,11 @@
     return [x["term"] for d in daemons for x in d.events("term begins")]
 
 
+def seconds(at):
+    """Of a time in a log."""
+    return datetime.datetime.fromisoformat(at.rstrip("Z")).timestamp()
+
+
 @case
 def state_configuration_never_back(world):
     """A newer configuration is acted upon, an older one never, whether it
@@ -331,6 +337,41 @@
     all_know(late.id, "listed")
 
 
+@case
+def state_silent_store(world):
+    """A store that stood silent for long leaves the call of its last moments
+    without an answer. Once others see the store again, the daemon that is
+    behind learns of a new configuration with them, not when it gives that
+    call up."""
+    store, _, _ = serve(world, 1)
+    door = Proxy(store.addr)
+    fronts = [Front(world, store, "front-3"), Front(world, door, "front-2"),
+              Front(world, store, "front-9")]
+    for front in fronts:
+        front.await_ready()
+    wait("one does not read", lambda: any(
+        x.events("reader") and not x.events("reader")[-1]["is"]
+        for x in fronts))
+    check(not fronts[1].events("reader"), "front-2 follows the store")
+
+    def in_force(front, version):
+        return any(x["version"] == version
+                   for x in front.events("configuration"))
+    for version in range(2, 6):
+        door.mute = ("down",)  # its calls are carried out and not answered
+        time.sleep(4 + version * 0.6)
+        door.silence()  # nor are those under way, later
+        door.heal()
+        configure(store, version, [route("safe", "safe")])
+        wait("version %d" % version,
+             lambda: all(in_force(x, version) for x in fronts))
+        ages = [next(x["at"] for x in front.events("configuration")
+                     if x["version"] == version) for front in fronts]
+        late = seconds(ages[1]) - max(seconds(ages[0]), seconds(ages[2]))
+        check(late < 1.5, "version %d: %.1f s after the others", version,
+              late)
+
+
 @case
 def state_readers_tell_by_groups(world):
     """With many daemons a reader tells one of a group, which tells the others;
