--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -32,13 +32,20 @@
     return relay->repeatable && relay->runs < relay->attempts;
 }
 
+/* the run under way is not the last one that the route allows */
+static bool
+may_be_replaced(const FrRelay *relay)
+{
+    return relay->repeatable && relay->runs + 1 < relay->attempts;
+}
+
 void
 FrRelay_ArmTimer(FrRelay *relay, BkMs now)
 {
     BkMs at = relay->until;
 
     if (relay->stage == FR_SENT && relay->kind == BK_ROUTE_SAFE &&
-        may_run_again(relay) && retry_point(relay) < at &&
+        may_be_replaced(relay) && retry_point(relay) < at &&
         retry_point(relay) > now) {
         at = retry_point(relay);
     }
--- a/tests/proof/case_front.py
+++ b/tests/proof/case_front.py
@@ -431,6 +431,26 @@
     check(runs(ups)[-1].all("last-event-id") == ["5"], "passed on once")
 
 
+@case
+def front_last_attempt_has_its_time(world):
+    """A repeatable request that nobody answers in good time is sent once
+    more; the last attempt that the route allows may take until the
+    deadline."""
+    store, ups, front = serve(world)
+    configure(store, 2, [route("safe", "safe", targetLatencyMs=500)])
+    wait("the change", lambda: any(
+        x["version"] == 2 for x in front.events("configuration")))
+
+    def slow(asked, sock):
+        time.sleep(1)
+        sock.sendall(sealed(asked))
+    for up in ups:
+        up.plays = [slow]
+    code = Caller(front).ask("/safe/")[0]
+    check(code == 200, "%s", code)
+    check(len(runs(ups)) == 2, "%d runs", len(runs(ups)))
+
+
 @case
 def front_deadlines(world):
     """An upstream is told what is left of the time, and at the route's time
