plan: load busy models before those that nobody asks for

For 18 s every load went to models without a copy that nobody asked for, and the busiest one, asked for 470000 tokens a second, lost copies to them ("unload ... no engine holds it").

Now a model without a copy comes first only while somebody waits for it; else it counts as one that is asked for what an engine reads in a second.

unit plan: the new case gave no copy to the busy model before. In the case "an engine whose copy is needed less makes room" somebody waits for the model now, since that is what it is about: where the room is made.

--- a/include/bk/plan/plan.h
+++ b/include/bk/plan/plan.h
@@ -26,6 +26,8 @@
     double gain;          /* a copy goes to a model whose work for each copy
                              is so many times that of the one it replaces */
     double idle;          /* tokens a second below which a model is idle */
+    double first_copy;    /* what the first copy of a model counts for that
+                             nobody waits for, as work of a copy */
 } BkPlanConf;
 
 typedef struct BkPlanModel {
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -27,7 +27,8 @@
     .work_per_copy = 6000, /* tokens a second; a quarter of what an engine
                               reads, so that a burst finds room */
     .gain = 2.0,
-    .idle = 50};
+    .idle = 50,
+    .first_copy = 20000}; /* about what an engine reads in a second */
 
 /* While the store answers nobody, nobody can claim the lease either. Should
    one whom we do not hear have done so, engines refuse our older fence. */
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -253,6 +253,22 @@
     return true;
 }
 
+/* how much a model is in want of one more copy */
+static double
+need_of_copy(const Plan *plan, int model)
+{
+    const BkPlanModel *info = &plan->input->models[model];
+    double share = share_of(plan, model, 0);
+
+    if (plan->copies[model] > 0) {
+        return share;
+    }
+    if (info->waiting > 0) {
+        return 1e9 + info->waiting * 1e6 + share; /* before all others */
+    }
+    return share + plan->conf->first_copy;
+}
+
 /* the model that is most in want of a copy, of those not yet looked at */
 static int
 find_neediest(const Plan *plan, const bool *done)
@@ -261,11 +277,7 @@
     double most = 0;
 
     for (int m = 0; m < plan->input->model_count; m++) {
-        double need = share_of(plan, m, 0);
-        if (plan->copies[m] == 0) {
-            /* before all others; those asked for now first */
-            need += 1e9 + plan->input->models[m].waiting * 1e6;
-        }
+        double need = need_of_copy(plan, m);
         if (!done[m] && (best < 0 || need > most)) {
             best = m;
             most = need;
@@ -306,7 +318,8 @@
            (model = find_neediest(plan, done)) >= 0) {
         double share = share_of(plan, model, 0);
         if (plan->copies[model] == 0) {
-            if (!place_copy(plan, model, 1e12, "no engine holds it")) {
+            double most = need_of_copy(plan, model) / plan->conf->gain;
+            if (!place_copy(plan, model, most, "no engine holds it")) {
                 done[model] = true;
             }
         }
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -163,7 +163,10 @@
 
 START_TEST(test_decisions)
 {
-    Bench bench = {.conf = {.work_per_copy = 6000, .gain = 2, .idle = 50},
+    Bench bench = {.conf = {.work_per_copy = 6000,
+                            .gain = 2,
+                            .idle = 50,
+                            .first_copy = 20000},
                    .store_loads = 9};
 
     BkScript_Run("plan", run_plan, &bench);
