sync: log what a call to the store returned

Change: the events read and read failed, with rows, bytes, version and time; a reader's feed of reports, several a second, is left out. No logic changes.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -185,11 +185,44 @@
                 (json_int_t)sync->tables[FR_TABLE_REPORTS].version);
 }
 
+/* Logs what a call returned, unless it is one of a reader's many feed calls of
+   the reports. */
+static void
+log_reply(const FrTableSync *table, const BkStoreReply *reply, BkMs now)
+{
+    size_t bytes = 0;
+
+    if (reply->count == 0 || (table->list_done && table->sync->reader &&
+                              table->id == FR_TABLE_REPORTS)) {
+        return;
+    }
+    for (int i = 0; i < reply->count; i++) {
+        bytes += reply->rows[i].value.len;
+    }
+    BkLog_Event(BK_LOG_INFO, "sync", NULL, "read",
+                "s:s, s:s, s:i, s:I, s:I, s:I", "table", table->name, "what",
+                table->list_done ? "changes" : "rows", "rows", reply->count,
+                "bytes", (json_int_t)bytes, "version",
+                (json_int_t)reply->version, "took_ms",
+                (json_int_t)(now - table->called_at));
+}
+
+static void
+log_failure(const FrTableSync *table, BkStatus status, BkMs now)
+{
+    BkLog_Event(BK_LOG_INFO, "sync", NULL, "read failed",
+                "s:s, s:s, s:s, s:i, s:I", "table", table->name, "what",
+                table->list_done ? "changes" : "rows", "why",
+                BkStatus_Info(status)->text, "failures", table->failures + 1,
+                "took_ms", (json_int_t)(now - table->called_at));
+}
+
 static void
 handle_failure(FrTableSync *table, BkStatus status, BkMs now)
 {
     BkMs delay = table->retry_delay;
 
+    log_failure(table, status, now);
     if (status == BK_EGONE) {
         /* the feed has lost changes: read the whole table again */
         table->list_done = false;
@@ -358,6 +391,7 @@
     }
     BkMs reply_time = now - table->called_at - table->feed_wait;
     FrSync_NoteStoreResult(table->sync, reply_time < SLOW_REPLY, now);
+    log_reply(table, reply, now);
     table->retry_delay = 0;
     table->failures = 0;
     if (table->list_done) {
