proof: a daemon that was cut off reads every configuration that it missed

The stand-in of the store returned only the newest value of a changed row, where the platform's feed returns each change; so no proof could show this.

--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -57,8 +57,10 @@
                 self.send_header("Content-Length", str(len(text)))
                 if store.era is not None:
                     self.send_header("Store-Era", str(store.era))
-                self.end_headers()
-                self.wfile.write(text)
+                # the daemon may have been cut off meanwhile
+                with contextlib.suppress(OSError):
+                    self.end_headers()
+                    self.wfile.write(text)
 
             def do_GET(self):
                 self.answer_call()
@@ -96,9 +98,12 @@
         self.reads.append(query["table"])
         keys = sorted(key for table, key in self.rows
                       if table == query["table"]
-                      and key >= query.get("from", ""))
-        return {"rows": [self.encode_row(query["table"], key) for key in keys],
-                "hasMore": False, "ver": self.version, "nowMs": 0}
+                      and key >= query.get("from", "")
+                      and ("to" not in query or key < query["to"]))
+        limit = int(query.get("limit", 500))
+        return {"rows": [self.encode_row(query["table"], key)
+                         for key in keys[:limit]],
+                "hasMore": len(keys) > limit, "ver": self.version, "nowMs": 0}
 
     def feed(self, query):
         after, table = int(query["after"]), query["table"]
@@ -106,20 +111,19 @@
             return 410, {}
         end = time.monotonic() + int(query["waitMs"]) / 1000
 
-        def changed():
-            return {key for version, name, key in self.history
-                    if version > after and name == table}
+        def changes():
+            return [change for change in self.history
+                    if change[0] > after and change[1] == table]
 
-        while not changed() and time.monotonic() < end:
+        while not changes() and time.monotonic() < end:
             self.lock.wait(end - time.monotonic())
             if after < self.lost_version or after > self.version:
                 return 410, {}
-        rows = [self.encode_row(table, key) if (table, key) in self.rows else
-                {"table": table, "part": "", "key": key, "tombstone": True,
-                 "ver": max(v for v, t, k in self.history
-                            if (t, k) == (table, key))}
-                for key in changed()]
-        rows.sort(key=lambda row: row["ver"])
+        # each change of a row, and not only its newest value
+        rows = [{"table": table, "part": "", "key": key, "ver": version,
+                 **({"tombstone": True} if value is None else
+                    {"value": base64.b64encode(value).decode()})}
+                for version, _, key, value in changes()]
         return 200, {"rows": rows, "ver": self.version, "nowMs": 0}
 
     def commit(self, txn):
@@ -146,7 +150,7 @@
             self.rows.pop((table, key), None)
         else:
             self.rows[table, key] = (value, self.version)
-        self.history.append((self.version, table, key))
+        self.history.append((self.version, table, key, value))
 
     def put(self, table, key, value):
         """value: an object, bytes, or None to remove the row."""
@@ -410,6 +414,7 @@
     def __init__(self, target):
         self.target, self.pairs, self.lock = target, [], threading.Lock()
         self.delay, self.refuse, self.muted = 0, False, ()
+        self.received = 0  # bytes from the target that were passed on
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -441,6 +446,9 @@
                 if pair["silent"] or direction in self.muted:
                     continue
                 sink.sendall(data)
+                if direction == "down":
+                    with self.lock:
+                        self.received += len(data)
         if not pair["silent"]:
             for side in (source, sink):
                 with contextlib.suppress(OSError):
