store: limit the time until a reply begins

Cause: the limit for silence applied only between two bytes of a reply. A read of rows that the store never answered (its path was cut, and the connection stays silent when it is back) held the next call back for up to 6 s, its whole limit. Feeds were not affected as long, since a peer's message replaces one that waits.

Change: a limit until the first byte, 600 ms and 1 s after a failure, beyond the wait of a feed.

Test: unit net, test_no_first_byte (new field).

--- a/include/bk/net/http_client.h
+++ b/include/bk/net/http_client.h
@@ -39,6 +39,7 @@
     BkStr body;                 /* copied */
     BkMs connect_timeout;       /* 0: one second */
     BkMs timeout;               /* of the whole call; 0: none */
+    BkMs first_byte_timeout;    /* until the response begins; 0: none */
     BkMs idle_timeout;   /* between two bytes of the response; 0: none */
     bool new_connection; /* on a new connection, which is not reused */
     /* the response head is complete; may be NULL */
--- a/include/bk/store/store.h
+++ b/include/bk/store/store.h
@@ -77,7 +77,8 @@
 void BkStore_Destroy(BkStore *store);
 
 typedef struct BkStoreTimeouts {
-    BkMs total; /* limit for the whole call */
+    BkMs total;      /* limit for the whole call */
+    BkMs first_byte; /* until the response begins; 0: only total applies */
     /* longest time without a byte of the response; 0: only total applies */
     BkMs idle;
 } BkStoreTimeouts;
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -17,7 +17,11 @@
     /* ms that a feed call waits for changes; not longer, since a dead
        connection is noticed only after it */
     FEED_WAIT = 1500,
-    CALL_TIMEOUT = 600,  /* ms for a reply, beyond the wait of a feed */
+    CALL_TIMEOUT = 600, /* ms for a reply, beyond the wait of a feed */
+    /* ms until a reply begins, beyond that wait, after a failure: long enough
+       for a congested link, and short enough that a daemon that reaches the
+       store again loses little time to a call that hangs */
+    MAX_SILENCE = 1000,
     LIST_TIMEOUT = 1500, /* ms for each part of a list */
     /* both timeouts double with each failure up to this number, so that a
        large reply can pass a congested link */
@@ -413,12 +417,13 @@
     return timeout << table->failures;
 }
 
-/* longest time without a byte of the reply: a store that hung has lost the
-   call, and never answers it */
+/* longest time until the reply begins, and without a byte of it: a store that
+   hung has lost the call, and never answers it */
 static BkMs
 silence_timeout(const FrTableSync *table)
 {
-    return table->feed_wait + (CALL_TIMEOUT << (table->failures > 0 ? 1 : 0));
+    return table->feed_wait +
+           (table->failures > 0 ? MAX_SILENCE : CALL_TIMEOUT);
 }
 
 static void
@@ -433,6 +438,7 @@
     /* a daemon that is not a reader only fetches the changes that it lacks */
     table->feed_wait = table->list_done && table->sync->reader ? FEED_WAIT : 0;
     BkStoreTimeouts limit = {.total = table->feed_wait + reply_timeout(table),
+                             .first_byte = silence_timeout(table),
                              .idle = silence_timeout(table)};
     if (table->list_done) {
         BkStore_ReadChanges(store, table->name, table->version,
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -46,6 +46,7 @@
     BkBuf body;
     BkHttpCallSpec spec; /* the texts that it points to may have been freed */
     BkTimer *idle_timer;
+    BkMs launched_at;
     BkMs last_byte_at; /* of the response; 0: none yet */
     bool idle_timed_out;
     BkHttpFetchFn fetch; /* NULL unless started by BkHttpClient_Fetch */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -234,12 +234,19 @@
 check_idle(void *arg)
 {
     BkHttpCall *call = arg;
-    BkMs remaining =
-        call->last_byte_at + call->spec.idle_timeout - BkClock_Now();
+    bool begun = call->last_byte_at != 0;
+    BkMs limit =
+        begun ? call->spec.idle_timeout : call->spec.first_byte_timeout;
+    BkMs since = begun ? call->last_byte_at : call->launched_at;
 
-    if (call->paused || call->last_byte_at == 0) {
-        remaining = call->spec.idle_timeout;
+    if (begun && limit == 0) {
+        return;
+    }
+    if (call->paused || limit == 0) {
+        BkTimer_Start(call->idle_timer, call->spec.idle_timeout);
+        return;
     }
+    BkMs remaining = since + limit - BkClock_Now();
     if (remaining > 0) {
         BkTimer_Start(call->idle_timer, remaining);
         return;
@@ -251,11 +258,16 @@
 static void
 launch_call(BkHttpCall *call)
 {
+    const BkHttpCallSpec *spec = &call->spec;
+
     call->state = CALL_RUNNING;
-    if (call->spec.idle_timeout > 0) {
+    call->launched_at = BkClock_Now();
+    if (spec->first_byte_timeout > 0 || spec->idle_timeout > 0) {
         call->idle_timer =
             BkTimer_Create(call->client->loop, check_idle, call);
-        BkTimer_Start(call->idle_timer, call->spec.idle_timeout);
+        BkTimer_Start(call->idle_timer, spec->first_byte_timeout > 0
+                                            ? spec->first_byte_timeout
+                                            : spec->idle_timeout);
     }
     if (curl_multi_add_handle(call->client->multi, call->easy) != CURLM_OK) {
         abort();
--- a/tests/unit/test_net.c
+++ b/tests/unit/test_net.c
@@ -509,6 +509,28 @@
 }
 END_TEST
 
+/* A server that never answers ends the call after the limit for the first
+   byte, long before that of the whole call. */
+START_TEST(test_no_first_byte)
+{
+    NetTest *test = open_test();
+
+    snprintf(test->url, sizeof(test->url), "http://127.0.0.1:%d/hold",
+             BkHttpServer_Port(test->server));
+    BkHttpCallSpec spec = {.method = "GET",
+                           .url = test->url,
+                           .timeout = 10 * TEST_TIMEOUT_MS,
+                           .first_byte_timeout = 50,
+                           .on_done = note_done,
+                           .arg = test};
+    BkHttpClient_Start(test->client, &spec);
+    run_until(test, &test->done_count, 1);
+    ck_assert_int_eq(test->result.status, BK_ETIMEOUT);
+    ck_assert(test->result.may_have_been_sent);
+    close_test(test);
+}
+END_TEST
+
 int
 main(void)
 {
@@ -522,7 +544,8 @@
                                   test_large_headers,
                                   test_cut_body,
                                   test_reading_is_active,
-                                  test_never_sent_twice};
+                                  test_never_sent_twice,
+                                  test_no_first_byte};
     int count = sizeof(tests) / sizeof(tests[0]);
 
     /* 50 seconds: longer than TEST_TIMEOUT_MS */
