sync: read rows, not the history, after a longer time

Cause: a daemon that is behind asked for all changes after its version.

Change: the configuration, a single row, is read as a row by daemons that do not follow the store, and by a reader that had no reply for 500 ms. Reports are read as rows once peers are more versions ahead than there are upstreams. The class of fault: a catch-up whose cost grows with what was missed.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -31,6 +31,8 @@
     SLOW_REPLY = 400,        /* ms; a later reply counts as a failing store */
     FEED_INTERVAL = 150,     /* ms to the next feed call after changes, so
                                  that frequent changes share a call */
+    MAX_FEED_GAP = 500,      /* ms without a reply after which a reader reads
+                                the configuration itself and not its changes */
     CATCH_UP_INTERVAL = 300, /* ms, at least, between two catch-ups */
     CATCH_UP_JITTER = 120,   /* ms; daemons that learn of the same change do
                                 not all call at once */
@@ -221,6 +223,15 @@
                 "took_ms", (json_int_t)(now - table->called_at));
 }
 
+/* longest time until the reply begins, and without a byte of it: a store that
+   hung has lost the call, and never answers it */
+static BkMs
+silence_timeout(const FrTableSync *table)
+{
+    return table->feed_wait +
+           (table->failures > 0 ? MAX_SILENCE : CALL_TIMEOUT);
+}
+
 static void
 handle_failure(FrTableSync *table, BkStatus status, BkMs now)
 {
@@ -396,6 +407,7 @@
     BkMs reply_time = now - table->called_at - table->feed_wait;
     FrSync_NoteStoreResult(table->sync, reply_time < SLOW_REPLY, now);
     log_reply(table, reply, now);
+    table->replied_at = now;
     table->retry_delay = 0;
     table->failures = 0;
     if (table->list_done) {
@@ -417,13 +429,25 @@
     return timeout << table->failures;
 }
 
-/* longest time until the reply begins, and without a byte of it: a store that
-   hung has lost the call, and never answers it */
-static BkMs
-silence_timeout(const FrTableSync *table)
+/* Whether to read the rows of a table that was read before, and not what has
+   changed since: the store returns each change of a row, so that the changes
+   of a longer time can be many times as large as the table. */
+static bool
+is_history_long(const FrTableSync *table, BkMs now)
 {
-    return table->feed_wait +
-           (table->failures > 0 ? MAX_SILENCE : CALL_TIMEOUT);
+    const FrSync *sync = table->sync;
+
+    switch (table->id) {
+    case FR_TABLE_SITE:
+        return !sync->reader || now - table->replied_at >= MAX_FEED_GAP;
+    case FR_TABLE_REPORTS:
+        /* the store's version rises by one with each change */
+        return table->peer_version >
+               table->version + (uint64_t)sync->front->fleet.count;
+    case FR_TABLE_COUNT:
+        break;
+    }
+    return false;
 }
 
 static void
@@ -434,6 +458,10 @@
 
     table->call_active = true;
     table->called_at = BkClock_Now();
+    if (table->list_done && is_history_long(table, table->called_at)) {
+        table->list_done = false;
+        table->reading_list = false;
+    }
     table->asked_after = table->version;
     /* a daemon that is not a reader only fetches the changes that it lacks */
     table->feed_wait = table->list_done && table->sync->reader ? FEED_WAIT : 0;
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -7,7 +7,8 @@
  * decides by the gossip of its peers (peers.h) whether it is a reader; if it
  * hears no reader for a second, it becomes one. The other daemons call the
  * store only until they have read a table once, and when they learn that they
- * are behind.
+ * are behind. What was missed for longer is read as rows, not as changes, so
+ * that the cost does not grow with the time.
  */
 #ifndef BK_FRONT_SYNC_H
 #define BK_FRONT_SYNC_H
@@ -37,6 +38,7 @@
     bool reading_list; /* more parts of the list are to be read */
     char *next_key;    /* first key of the next part */
     BkMs called_at;
+    BkMs replied_at;  /* when the last call succeeded */
     BkMs feed_wait;   /* how long the store may wait for changes; 0: not */
     BkMs retry_delay; /* after the last failure; 0: the last call succeeded */
     int failures;     /* consecutive; counted up to a limit */
