sync: retry at once after a call that stayed silent

Cause: a call that hung for its whole limit was followed by a growing delay of up to 0.9 s, as after a quick refusal, though the silence had been delay enough. A VM whose path to the store heals lost up to that much of the 3 to 5 s in which it must have the newest configuration.

Change: after a silent call, if peers reach the store, the next one goes out within 120 ms. Refused calls keep their growing delay, and so do all when nobody reaches the store.

Test: state_silent_store passed 4 of 4 with it and 4 of 4 without; it shows no regression but does not tell the two apart.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -236,6 +236,7 @@
 handle_failure(FrTableSync *table, BkStatus status, BkMs now)
 {
     BkMs delay = table->retry_delay;
+    bool was_silent = now - table->called_at >= silence_timeout(table);
 
     log_failure(table, status, now);
     if (status == BK_EGONE) {
@@ -250,6 +251,13 @@
     }
     delay = delay == 0 ? MIN_RETRY_DELAY : delay * 2;
     table->retry_delay = delay < MAX_RETRY_DELAY ? delay : MAX_RETRY_DELAY;
+    if (was_silent &&
+        FrPeers_AnyReachesStore(table->sync->front->peers, now)) {
+        /* the silence was the delay, and others are served */
+        schedule_call(table, (BkMs)BkRng_Below(&table->sync->front->rng,
+                                               CATCH_UP_JITTER));
+        return;
+    }
     /* random jitter of up to half the delay, in both directions */
     schedule_call(table, table->retry_delay / 2 +
                              (BkMs)BkRng_Below(&table->sync->front->rng,
