sync: follow the configuration for 3 s after the start

Change: for 3 s it follows the table of the configuration itself, about two calls of the store a start.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -26,11 +26,14 @@
     /* both timeouts double with each failure up to this number, so that a
        large reply can pass a congested link */
     MAX_TIMEOUT_SHIFT = 2,
-    MIN_RETRY_DELAY = 60,    /* ms before a failed call is retried */
-    MAX_RETRY_DELAY = 600,   /* ms; the delay doubles up to this */
-    SLOW_REPLY = 400,        /* ms; a later reply counts as a failing store */
-    FEED_INTERVAL = 150,     /* ms to the next feed call after changes, so
+    MIN_RETRY_DELAY = 60,  /* ms before a failed call is retried */
+    MAX_RETRY_DELAY = 600, /* ms; the delay doubles up to this */
+    SLOW_REPLY = 400,      /* ms; a later reply counts as a failing store */
+    FEED_INTERVAL = 150,   /* ms to the next feed call after changes, so
                                  that frequent changes share a call */
+    /* ms from the start in which a daemon follows the configuration itself:
+       the readers do not know it yet */
+    SITE_START_TIME = 3000,
     MAX_FEED_GAP = 500,      /* ms without a reply after which a reader reads
                                 the configuration itself and not its changes */
     CATCH_UP_INTERVAL = 300, /* ms, at least, between two catch-ups */
@@ -67,11 +70,21 @@
     send_call(arg);
 }
 
+/* Whether this daemon reads all changes of the table itself. */
+static bool
+is_followed(const FrTableSync *table, BkMs now)
+{
+    const FrSync *sync = table->sync;
+
+    return sync->reader || (table->id == FR_TABLE_SITE &&
+                            now - sync->front->started_at < SITE_START_TIME);
+}
+
 /* schedules the next call, unless the readers send the further changes */
 static void
 schedule_next_call(FrTableSync *table, BkMs delay)
 {
-    if (!table->list_done || table->sync->reader) {
+    if (!table->list_done || is_followed(table, BkClock_Now())) {
         schedule_call(table, delay);
     }
 }
@@ -461,7 +474,8 @@
 
     switch (table->id) {
     case FR_TABLE_SITE:
-        return !sync->reader || now - table->replied_at >= MAX_FEED_GAP;
+        return !is_followed(table, now) ||
+               now - table->replied_at >= MAX_FEED_GAP;
     case FR_TABLE_REPORTS:
         /* the store's version rises by one with each change */
         return table->peer_version >
@@ -485,8 +499,10 @@
         table->reading_list = false;
     }
     table->asked_after = table->version;
-    /* a daemon that is not a reader only fetches the changes that it lacks */
-    table->feed_wait = table->list_done && table->sync->reader ? FEED_WAIT : 0;
+    /* a daemon that does not follow the table only fetches what it lacks */
+    table->feed_wait = table->list_done && is_followed(table, table->called_at)
+                           ? FEED_WAIT
+                           : 0;
     BkStoreTimeouts limit = {.total = table->feed_wait + reply_timeout(table),
                              .first_byte = silence_timeout(table),
                              .idle = silence_timeout(table)};
@@ -588,7 +604,7 @@
     BkLog_Event(BK_LOG_INFO, "sync", NULL, "behind another daemon", "s:s, s:I",
                 "table", table->name, "version", (json_int_t)table->version);
     table->last_catch_up_at = now;
-    if (sync->reader) {
+    if (is_followed(table, now)) {
         /* the call in progress may hang, or the feed may have skipped changes:
            ignores its reply and reads the whole table again */
         table->last_call_number++;
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -7,7 +7,8 @@
  * decides by the gossip of its peers (peers.h) whether it is a reader; if it
  * hears no reader for a second, it becomes one. The other daemons call the
  * store only until they have read a table once, and when they learn that they
- * are behind. What was missed for longer is read as rows, not as changes, so
+ * are behind; a daemon that has just started, whom the readers do not know yet,
+ * follows the configuration for a while. What was missed for longer is read as rows, not as changes, so
  * that the cost does not grow with the time.
  */
 #ifndef BK_FRONT_SYNC_H
--- a/tests/proof/case_front_catch_up.py
+++ b/tests/proof/case_front_catch_up.py
@@ -35,6 +35,21 @@
                 upstream.register(sequence=version, note=REPORT_NOTE)
 
 
+@case
+def catch_up_after_start(world):
+    """A configuration that is written right after a daemon has started takes
+    effect there before any other daemon can tell of it."""
+    store, _, front = serve(world, 1)
+    wait("the first one follows the store", lambda: front.events("reader"))
+    started = Front(world, store, "front-2")
+    wait("it has read version 1", lambda: started.events("configuration"))
+    configure(store, 2, [route("safe", "safe")])
+    wait("version 2", lambda: any(
+        x["version"] == 2 for x in started.events("configuration")))
+    check(not started.events("behind another daemon") and
+          not started.events("reader"), "it learned of version 2 from others")
+
+
 @case
 def catch_up_decodes_newest_only(world):
     """Of several configurations in one answer of the feed, a daemon takes over
