throttle: keep to the rate limits that upstreams name

Cause: nothing read the field. The class of fault: what an upstream says of itself in its responses is thrown away.

Change: the limit is read in the adapter; an upstream that names one gets requests only by grants of its coordinator, which counts those of all daemons in a token bucket (bk/throttle, pure). Asks and grants carry the limit with its age, so that the last word counts whoever read it. Plain services are asked for too while they name one; a coordinator that does not answer grants nothing there. The limit is used, not avoided, so that its end is seen. Asks and grants have new numbers, since they have new fields.

Tried: an upstream with a limit as a last choice; with another one at hand it got no request, and the end of its limit was never seen (case limit_shared_by_daemons).

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -22,6 +22,7 @@
 
 #include "bk/base/clock.h"
 #include "bk/fleet/report.h"
+#include "bk/throttle/throttle.h"
 
 enum {
     BK_UP_MAX_MODELS = 16,
@@ -107,6 +108,9 @@
     bool load_unsent; /* own load changed since the coordinator was told */
     /* until then it counts as full: the coordinator reported it so */
     BkMs full_until;
+    /* what it asked for in its responses; its hold-off holds for this daemon */
+    BkThrottle throttle;
+    BkMs throttled_until; /* until then, its rate limit admits no request */
 
     /* health, as derived from its responses */
     int failures;          /* consecutive */
--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -63,6 +63,10 @@
     int running;   /* requests */
     int waiting;   /* requests */
     int slots;     /* requests that it can run at the same time */
+    /* requests a second that it takes from all daemons together; negative: it
+       names no limit */
+    double rate_limit;
+    bool bad_rate_limit; /* it names a limit that is no number from 0 on */
 } BkResponseFields;
 
 /* Reads the fields of a caller's request; the texts in out are views into
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -207,11 +207,18 @@
 };
 typedef struct bkp_reports bkp_reports;
 
+struct bkp_limit {
+	int rate;
+	u_int age;
+};
+typedef struct bkp_limit bkp_limit;
+
 struct bkp_ask {
 	char *name;
 	u_int number;
 	u_int prompt_tokens;
 	bkp_load load;
+	bkp_limit limit;
 };
 typedef struct bkp_ask bkp_ask;
 
@@ -219,6 +226,8 @@
 	u_int number;
 	int granted;
 	bkp_load others;
+	bkp_limit limit;
+	u_int delay;
 };
 typedef struct bkp_grant bkp_grant;
 
@@ -247,18 +256,18 @@
 #define BKP_REPORTS 5
 extern  void * bkp_reports_2(bkp_reports *, CLIENT *);
 extern  void * bkp_reports_2_svc(bkp_reports *, struct svc_req *);
-#define BKP_ASK 6
-extern  void * bkp_ask_2(bkp_ask *, CLIENT *);
-extern  void * bkp_ask_2_svc(bkp_ask *, struct svc_req *);
-#define BKP_GRANT 7
-extern  void * bkp_grant_2(bkp_grant *, CLIENT *);
-extern  void * bkp_grant_2_svc(bkp_grant *, struct svc_req *);
 #define BKP_LOAD_UPDATE 8
 extern  void * bkp_load_update_2(bkp_load_update *, CLIENT *);
 extern  void * bkp_load_update_2_svc(bkp_load_update *, struct svc_req *);
 #define BKP_PLANNER_BEAT 9
 extern  void * bkp_planner_beat_2(bkp_planner_beat *, CLIENT *);
 extern  void * bkp_planner_beat_2_svc(bkp_planner_beat *, struct svc_req *);
+#define BKP_ASK 10
+extern  void * bkp_ask_2(bkp_ask *, CLIENT *);
+extern  void * bkp_ask_2_svc(bkp_ask *, struct svc_req *);
+#define BKP_GRANT 11
+extern  void * bkp_grant_2(bkp_grant *, CLIENT *);
+extern  void * bkp_grant_2_svc(bkp_grant *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -277,18 +286,18 @@
 #define BKP_REPORTS 5
 extern  void * bkp_reports_2();
 extern  void * bkp_reports_2_svc();
-#define BKP_ASK 6
-extern  void * bkp_ask_2();
-extern  void * bkp_ask_2_svc();
-#define BKP_GRANT 7
-extern  void * bkp_grant_2();
-extern  void * bkp_grant_2_svc();
 #define BKP_LOAD_UPDATE 8
 extern  void * bkp_load_update_2();
 extern  void * bkp_load_update_2_svc();
 #define BKP_PLANNER_BEAT 9
 extern  void * bkp_planner_beat_2();
 extern  void * bkp_planner_beat_2_svc();
+#define BKP_ASK 10
+extern  void * bkp_ask_2();
+extern  void * bkp_ask_2_svc();
+#define BKP_GRANT 11
+extern  void * bkp_grant_2();
+extern  void * bkp_grant_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -313,6 +322,7 @@
 extern  bool_t xdr_bkp_changes (XDR *, bkp_changes*);
 extern  bool_t xdr_bkp_row (XDR *, bkp_row*);
 extern  bool_t xdr_bkp_reports (XDR *, bkp_reports*);
+extern  bool_t xdr_bkp_limit (XDR *, bkp_limit*);
 extern  bool_t xdr_bkp_ask (XDR *, bkp_ask*);
 extern  bool_t xdr_bkp_grant (XDR *, bkp_grant*);
 extern  bool_t xdr_bkp_load_update (XDR *, bkp_load_update*);
@@ -336,6 +346,7 @@
 extern bool_t xdr_bkp_changes ();
 extern bool_t xdr_bkp_row ();
 extern bool_t xdr_bkp_reports ();
+extern bool_t xdr_bkp_limit ();
 extern bool_t xdr_bkp_ask ();
 extern bool_t xdr_bkp_grant ();
 extern bool_t xdr_bkp_load_update ();
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -79,6 +79,10 @@
 bool BkPick_IsEngineFull(const BkPickConf *conf, const BkUp *up,
                          int64_t prompt_tokens);
 
+/* Whether an upstream of a plain service has max_load_ratio running requests
+ * for each of its slots. */
+bool BkPick_IsServiceFull(const BkPickConf *conf, const BkUp *up);
+
 /* The work queued before the first token of a new request on this upstream,
  * in tokens: unprocessed prompts and the cost of running requests. */
 int64_t BkPick_Backlog(const BkPickConf *conf, const BkUp *up);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -286,6 +286,7 @@
     BkUp *up = BkMem_New(1, sizeof(*up));
 
     up->refs = 1;
+    up->throttle = BkThrottle_Make();
     up->id = BkStr_Dup(BkStr_FromC(report->id));
     up->key = BkStr_NameHash(BkStr_FromC(report->id));
     up->address = BkStr_Dup(BkStr_FromC(report->address));
--- a/src/front/admission.c
+++ b/src/front/admission.c
@@ -5,6 +5,7 @@
 
 #include "bk/base/log.h"
 #include "request.h"
+#include "signals.h"
 
 enum {
     ASK_TIMEOUT = 20,   /* ms to wait for an answer; several round trips
@@ -16,11 +17,23 @@
     /* ms between two messages about a load that does not change, since
        datagrams may be lost and the coordinator may be a new one */
     RESEND_INTERVAL = 500,
+    /* ms added to the age of a rate limit in a message: more than it usually
+       takes, or the limit would seem newer with each message */
+    HOP_TIME = 15,
+    /* ms in which an upstream with a rate limit is not asked for again after
+       its coordinator did not answer */
+    UNANSWERED_PAUSE = 200,
+    /* ms, at most, by which the further asks of daemons are spread when a
+       rate limit admitted none of them */
+    DENIAL_SPREAD = 150,
     /* ms in which a daemon with own load at an upstream counts as its
        coordinator: longer than the interval above */
     COORDINATION_TIME = 2000
 };
 
+/* a rate limit in a message counts in this part of a request a second */
+static const double limit_unit = 1000;
+
 /* for rendezvous hashing: of the daemons in the upstream's failure domain, or
    of all if there are none, the one with the highest weight is the
    coordinator */
@@ -115,7 +128,43 @@
     }
 }
 
-bool
+static bkp_limit
+known_limit(const BkUp *up, BkMs now)
+{
+    const BkThrottle *throttle = &up->throttle;
+    double rate = throttle->limit * limit_unit;
+    BkMs age = now - throttle->limit_seen_at + HOP_TIME;
+
+    return (bkp_limit){!BkThrottle_IsLimited(throttle) ? -1
+                       : rate < INT32_MAX              ? (int)rate
+                                                       : INT32_MAX,
+                       age < UINT32_MAX ? (u_int)age : UINT32_MAX};
+}
+
+static void
+note_limit(BkUp *up, const bkp_limit *limit, BkMs now)
+{
+    double rate = limit->rate < 0 ? -1 : (double)limit->rate / limit_unit;
+
+    FrSignals_NoteRateLimit(up, rate, now - (BkMs)limit->age, "another daemon",
+                            now);
+}
+
+/* As the upstream's coordinator: ms until its rate limit admits a request; 0:
+   it is admitted, and counted. */
+static BkMs
+take_from_limit(FrFront *front, BkUp *up, BkMs now)
+{
+    BkMs delay = BkThrottle_GetDelay(&up->throttle, now);
+
+    if (delay == 0) {
+        BkThrottle_Take(&up->throttle, now);
+        return 0;
+    }
+    return delay + (BkMs)BkRng_Below(&front->rng, DENIAL_SPREAD);
+}
+
+FrAskResult
 FrAdmission_Ask(FrAdmission *admission, FrRequest *request, BkMs now)
 {
     FrFront *front = admission->front;
@@ -125,10 +174,16 @@
         /* this daemon is the coordinator, and its count of the load allowed
            the upstream to be chosen */
         request->up->coordinated_until = now + COORDINATION_TIME;
-        return false;
+        BkMs delay = take_from_limit(front, request->up, now);
+        if (delay > 0) {
+            request->up->throttled_until = now + delay;
+            return FR_ASK_DENIED;
+        }
+        return FR_ASK_GRANTED;
     }
     bkp_ask ask = {front->conf.name, ++admission->last_ask_number,
-                   (u_int)request->query.prompt_tokens, own_load(request->up)};
+                   (u_int)request->query.prompt_tokens, own_load(request->up),
+                   known_limit(request->up, now)};
     request->ask_number = admission->last_ask_number;
     request->asked_at = now;
     request->coordinator = coordinator;
@@ -143,7 +198,7 @@
     if (!BkTimer_Running(admission->timeout_timer)) {
         BkTimer_Start(admission->timeout_timer, ASK_TIMEOUT);
     }
-    return true;
+    return FR_ASK_SENT;
 }
 
 void
@@ -169,7 +224,7 @@
 {
     FrFront *front = admission->front;
     FrPeer *peer = FrPeers_Find(front->peers, BkStr_FromC(ask->name));
-    const BkUp *up = BkFleet_FindByKey(&front->fleet, ask->load.up);
+    BkUp *up = BkFleet_FindByKey(&front->fleet, ask->load.up);
     bkp_grant grant = {.number = ask->number, .granted = 1};
     bkp_load load_before = ask->load; /* without the request */
 
@@ -185,12 +240,18 @@
         (u_int)(up->own_running + up->peer_running) - load_before.running,
         (u_int)(up->own_prompt_tokens + up->peer_prompt_tokens) -
             load_before.prompt_tokens};
-    if (FrRequest_IsEngineFull(front, up, ask->prompt_tokens)) {
+    note_limit(up, &ask->limit, now);
+    if (FrRequest_IsUpFull(front, up, ask->prompt_tokens)) {
         grant.granted = 0;
     }
     else {
+        grant.delay = (u_int)take_from_limit(front, up, now);
+        grant.granted = grant.delay == 0;
+    }
+    if (grant.granted) {
         FrLoads_SetOne(front, peer, &ask->load, now);
     }
+    grant.limit = known_limit(up, now);
     FrPeers_Send(front->peers, peer, BKP_GRANT, &grant);
 }
 
@@ -209,10 +270,15 @@
     request->coordinator->unanswered_asks = 0;
     if (request->up->key == grant->others.up) {
         FrLoads_SetOthers(request->up, &grant->others, now);
+        note_limit(request->up, &grant->limit, now);
     }
     FrAdmission_Cancel(admission, request);
-    BkCounter_Add(admission->denied, grant->granted ? 0 : 1);
-    FrRequest_OnAskAnswer(request, grant->granted != 0, now);
+    if (!grant->granted) {
+        BkCounter_Add(
+            grant->delay > 0 ? admission->throttled : admission->denied, 1);
+    }
+    FrRequest_OnAskAnswer(request, grant->granted != 0, (BkMs)grant->delay,
+                          now);
 }
 
 void
@@ -265,7 +331,9 @@
         }
         note_unanswered(admission, request->coordinator, now);
         FrAdmission_Cancel(admission, request);
-        FrRequest_OnAskAnswer(request, true, now);
+        bool limited = BkThrottle_IsLimited(&request->up->throttle);
+        FrRequest_OnAskAnswer(request, !limited,
+                              limited ? UNANSWERED_PAUSE : 0, now);
     }
 }
 
@@ -283,6 +351,9 @@
                                     "questions to keepers of engines");
     admission->denied = BkCounter_Get("bk_front_asks_denied_total", NULL,
                                       "of these, the engine was full");
+    admission->throttled =
+        BkCounter_Get("bk_front_asks_throttled_total", NULL,
+                      "of these, the upstream's rate limit admitted none");
     admission->unanswered =
         BkCounter_Get("bk_front_asks_lost_total", NULL,
                       "of these, without an answer in time");
--- a/src/front/admission.h
+++ b/src/front/admission.h
@@ -12,11 +12,17 @@
  * coordinator of a plain service is not asked, but told of changes of the load
  * as that of an engine is.
  *
+ * An upstream of either kind that names a rate limit (bk/throttle) gets
+ * requests only by grants: its coordinator counts those of all daemons. What
+ * a daemon last read in a response of the upstream travels with its asks, and
+ * what the coordinator knows with the grants.
+ *
  * The coordinator's state is soft: every message contains the whole load of
  * its sender at the upstream, and is sent again from time to time. If
  * the coordinator does not answer within ASK_TIMEOUT ms, the daemon sends the
- * request, having chosen the engine by its own view of the load; a coordinator
- * that repeatedly does not answer is not used for a while.
+ * request, having chosen the engine by its own view of the load, unless the
+ * upstream named a rate limit; a coordinator that repeatedly does not answer is
+ * not used for a while.
  *
  * In logs and metrics, the coordinator is called the keeper.
  */
@@ -35,18 +41,25 @@
     BkMs resent_at;           /* when all own load was last sent again */
     BkCounter *asks;
     BkCounter *denied;
+    BkCounter *throttled;
     BkCounter *unanswered;
 };
 
+typedef enum FrAskResult {
+    FR_ASK_SENT,    /* to the coordinator: its answer will follow */
+    FR_ASK_GRANTED, /* the request may be sent to the upstream */
+    FR_ASK_DENIED   /* the upstream's rate limit does not admit it now */
+} FrAskResult;
+
 FrAdmission *FrAdmission_Create(FrFront *front);
 void FrAdmission_Destroy(FrAdmission *admission);
 
 /* Asks the coordinator of the request's upstream whether the request may be
  * sent there. This daemon's load at the upstream must already include the
- * request. The answer is passed to FrRequest_OnAskAnswer (request.h). Returns
- * false if this daemon is the coordinator: nothing is asked, and the request
- * may be sent. */
-bool FrAdmission_Ask(FrAdmission *admission, FrRequest *request, BkMs now);
+ * request. If this daemon is the coordinator, it decides at once; else the
+ * answer is passed to FrRequest_OnAskAnswer (request.h). */
+FrAskResult FrAdmission_Ask(FrAdmission *admission, FrRequest *request,
+                            BkMs now);
 
 /* The request no longer waits for an answer; a later one is ignored. */
 void FrAdmission_Cancel(FrAdmission *admission, FrRequest *request);
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -127,31 +127,46 @@
 }
 
 /* Adds the request to the load of the upstream, and sends it there, if
-   necessary after asking the upstream's coordinator. */
-static void
+   necessary after asking the upstream's coordinator. Returns what
+   FrRequest_Dispatch does. */
+static bool
 assign_upstream(FrRequest *request, BkUp *up, BkMs now)
 {
     request->up = BkUp_Ref(up);
     up->own_running++;
     up->own_prompt_tokens += request->query.prompt_tokens;
     request->prompt_counted = true;
-    if (request->query.model == 0) {
+    if (request->query.model == 0 && !BkThrottle_IsLimited(&up->throttle)) {
         FrAdmission_NoteLoadChange(request->front->admission, up);
         send_request(request, now);
+        return true;
     }
-    else if (!FrAdmission_Ask(request->front->admission, request, now)) {
+    switch (FrAdmission_Ask(request->front->admission, request, now)) {
+    case FR_ASK_SENT:
+        break;
+    case FR_ASK_GRANTED:
         send_request(request, now);
+        break;
+    case FR_ASK_DENIED:
+        FrRequest_AbortAttempt(request);
+        return FrRequest_Dispatch(request);
     }
+    return true;
 }
 
 void
-FrRequest_OnAskAnswer(FrRequest *request, bool granted, BkMs now)
+FrRequest_OnAskAnswer(FrRequest *request, bool granted, BkMs delay, BkMs now)
 {
     if (granted) {
         send_request(request, now);
         return;
     }
-    request->up->full_until = now + FULL_BACKOFF;
+    if (delay > 0) {
+        request->up->throttled_until = now + delay;
+    }
+    else {
+        request->up->full_until = now + FULL_BACKOFF;
+    }
     FrRequest_AbortAttempt(request);
     FrRequest_Dispatch(request);
 }
@@ -167,11 +182,16 @@
 }
 
 bool
-FrRequest_IsEngineFull(const FrFront *front, const BkUp *up, int64_t prompt)
+FrRequest_IsUpFull(const FrFront *front, const BkUp *up, int64_t prompt)
 {
     BkPickConf conf = make_pick_conf(front);
+    const BkSiteService *service =
+        front->site == NULL ? NULL
+                            : BkSite_FindService(front->site, up->service);
 
-    return BkPick_IsEngineFull(&conf, up, prompt);
+    return service != NULL && service->engine == NULL
+               ? BkPick_IsServiceFull(&conf, up)
+               : BkPick_IsEngineFull(&conf, up, prompt);
 }
 
 static void
@@ -250,8 +270,7 @@
     switch (choice.result) {
     case BK_PICK_SEND:
         FrQueue_Remove(request);
-        assign_upstream(request, choice.up, now);
-        return true;
+        return assign_upstream(request, choice.up, now);
     case BK_PICK_LOAD_ADAPTER:
         if (now - request->adapter_requested_at >= ADAPTER_REQUEST_PERIOD) {
             request->adapter_requested_at = now;
--- a/src/front/request.h
+++ b/src/front/request.h
@@ -33,12 +33,14 @@
 void FrRequest_ClearUpFailures(BkUp *up);
 
 /* The coordinator of its upstream (admission.h) has answered. granted: whether
- * the request may be sent there; also true if no answer came in time. */
-void FrRequest_OnAskAnswer(FrRequest *request, bool granted, BkMs now);
-
-/* Whether the engine is too full for a prompt of this many tokens. */
-bool FrRequest_IsEngineFull(const FrFront *front, const BkUp *up,
-                            int64_t prompt);
+ * the request may be sent there; also true if no answer came in time and the
+ * upstream has no rate limit. delay: if not granted because of that limit, ms
+ * until it may admit a request; 0: the upstream is full. */
+void FrRequest_OnAskAnswer(FrRequest *request, bool granted, BkMs delay,
+                           BkMs now);
+
+/* Whether the upstream is too full for a prompt of this many tokens. */
+bool FrRequest_IsUpFull(const FrFront *front, const BkUp *up, int64_t prompt);
 
 /* Decides whether the request keeps waiting or is refused; ahead: number of
  * requests for the same service and model ahead of it in the queue. */
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -1,5 +1,6 @@
 #include "admission.h"
 #include "request.h"
+#include "signals.h"
 
 enum {
     /* bytes of a body that are held back before the response to the caller
@@ -111,6 +112,7 @@
     BkResponseFields fields;
 
     BkAdapter_ReadResponseFields(head, &fields);
+    FrSignals_Note(request, &fields, BkClock_Now());
     if (!is_for_request(request, head, &fields)) {
         BkCounter_Add(request->front->metrics.stray_responses, 1);
         return FR_HEAD_SKIP;
--- /dev/null
+++ b/src/front/signals.h
@@ -0,0 +1,25 @@
+/*
+ * signals - what upstreams ask for in their responses
+ *
+ * An upstream in need says in its responses how many requests it takes. The
+ * fields are read by the platform adapter; what follows from them is decided
+ * in bk/throttle and, for the requests of all daemons together, by the
+ * upstream's coordinator (admission.h).
+ */
+#ifndef BK_FRONT_SIGNALS_H
+#define BK_FRONT_SIGNALS_H
+
+#include "bk/front/adapter.h"
+#include "front.h"
+
+/* The head of a response to the request came from the upstream that it was
+ * sent to. A value that cannot be used is logged, and changes nothing. */
+void FrSignals_Note(FrRequest *request, const BkResponseFields *fields,
+                    BkMs now);
+
+/* The upstream named this rate limit, in requests a second, at seen_at;
+ * negative: none. source: who read it, for the log. */
+void FrSignals_NoteRateLimit(BkUp *up, double rate, BkMs seen_at,
+                             const char *source, BkMs now);
+
+#endif
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -309,6 +309,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bkp_limit (XDR *xdrs, bkp_limit *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_int (xdrs, &objp->rate))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bkp_ask (XDR *xdrs, bkp_ask *objp)
 {
@@ -322,6 +334,8 @@
 		 return FALSE;
 	 if (!xdr_bkp_load (xdrs, &objp->load))
 		 return FALSE;
+	 if (!xdr_bkp_limit (xdrs, &objp->limit))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -336,6 +350,10 @@
 		 return FALSE;
 	 if (!xdr_bkp_load (xdrs, &objp->others))
 		 return FALSE;
+	 if (!xdr_bkp_limit (xdrs, &objp->limit))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->delay))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -193,6 +193,12 @@
     bkp_row rows<BKP_MAX_ROWS>;
 };
 
+/* the rate limit that an upstream last named in a response (bk/throttle) */
+struct bkp_limit {
+    int rate;                     /* requests in 1000 s; -1: none */
+    unsigned int age;             /* ms since that response */
+};
+
 /* Asks the coordinator of an upstream, the daemon that counts its total load,
    whether a request may be sent there. */
 struct bkp_ask {
@@ -200,13 +206,18 @@
     unsigned int number;          /* repeated in the answer */
     unsigned int prompt_tokens;   /* prompt tokens of the request */
     bkp_load load;                /* of the sender, including the request */
+    bkp_limit limit;              /* as the sender knows it */
 };
 
 /* the coordinator's answer */
 struct bkp_grant {
     unsigned int number;          /* of the ask */
-    int granted;                  /* 0: the upstream is full */
+    int granted;                  /* 0: the upstream is full, or its rate limit
+                                     admits no request now */
     bkp_load others;              /* load of all daemons but the asking one */
+    bkp_limit limit;              /* as the coordinator knows it */
+    unsigned int delay;           /* ms until the rate limit may admit it; 0: it
+                                     does not matter */
 };
 
 /* the load that a daemon causes at an upstream, sent to its coordinator when
@@ -223,9 +234,10 @@
         void BKP_ADAPTER_REQUEST(bkp_adapter_request) = 3;
         void BKP_CHANGES(bkp_changes) = 4;
         void BKP_REPORTS(bkp_reports) = 5;
-        void BKP_ASK(bkp_ask) = 6;
-        void BKP_GRANT(bkp_grant) = 7;
+        /* 6 and 7 were an ask and a grant without limits */
         void BKP_LOAD_UPDATE(bkp_load_update) = 8;
         void BKP_PLANNER_BEAT(bkp_planner_beat) = 9;
+        void BKP_ASK(bkp_ask) = 10;
+        void BKP_GRANT(bkp_grant) = 11;
     } = 2;
 } = 0x20426b02;
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -66,14 +66,23 @@
             unprocessed + prompt_tokens > conf->prefill_window);
 }
 
+bool
+BkPick_IsServiceFull(const BkPickConf *conf, const BkUp *up)
+{
+    int running = up->own_running + up->peer_running;
+
+    return running >= (int)(conf->max_load_ratio * up->slots + 0.5);
+}
+
 static bool
 is_full(const BkPickConf *conf, const BkPickQuery *query, const BkUp *up,
         BkMs now)
 {
-    int running = up->own_running + up->peer_running;
-
+    if (now < up->throttled_until) {
+        return true;
+    }
     if (query->engine == NULL) {
-        return running >= (int)(conf->max_load_ratio * up->slots + 0.5);
+        return BkPick_IsServiceFull(conf, up);
     }
     return now < up->full_until ||
            BkPick_IsEngineFull(conf, up, query->prompt_tokens);
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -76,6 +76,10 @@
                  fields.has_receipt ? " sealed" : "",
                  fields.not_run ? " not run" : "",
                  fields.encoded ? " encoded" : "");
+    if (fields.rate_limit >= 0 || fields.bad_rate_limit) {
+        BkBuf_Printf(out, " limit %s%g", fields.bad_rate_limit ? "bad " : "",
+                     fields.rate_limit);
+    }
     if (fields.has_load) {
         BkBuf_Printf(out, " load %d+%d of %d", fields.running, fields.waiting,
                      fields.slots);
