signals: heed upstreams that leave or want a pause, by their answers

Change: both are read in the adapter and noted for each response head, passed on or not. One that leaves counts so at once, whatever the store says, and gossip tells the others; a new process under its id ends it. One that wants a pause gets nothing from this daemon until its end (spread over a tenth of it, 1 s at most), no order either; grants that come meanwhile are not used. If all that could serve a request want a pause longer than its patience, it is refused at once with that end as Retry-After, spread by the jitter of all refusals.

Test: proof front_signals, six cases. Unit adapter, pick, wait.

--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -67,6 +67,12 @@
        names no limit */
     double rate_limit;
     bool bad_rate_limit; /* it names a limit that is no number from 0 on */
+    bool leaving;        /* it gets no new requests from now on */
+    bool bad_leaving;    /* the field has another value than the known one */
+    /* ms in which it wants nothing from this daemon, named in a refusal (503);
+       0: none. At most a day; of several fields, the first counts. */
+    BkMs hold_off;
+    bool bad_hold_off; /* what it names is no number of seconds from 0 on */
 } BkResponseFields;
 
 /* Reads the fields of a caller's request; the texts in out are views into
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -68,6 +68,9 @@
        if it is full now, can load the adapter; until then all of them carry
        out other orders; 0: one can now, or has loaded it */
     BkMs loadable_at;
+    /* BK_PICK_FULL: when the first upstream that can serve it takes requests
+       again, if all of them asked for a pause; 0: not all did */
+    BkMs open_at;
 } BkPickChoice;
 
 BkPickChoice BkPick_Choose(const BkPickConf *conf, const BkFleet *fleet,
--- a/include/bk/wait/wait.h
+++ b/include/bk/wait/wait.h
@@ -21,7 +21,8 @@
 typedef enum BkWaitCause {
     BK_WAIT_FULL,    /* every upstream that can serve it is full */
     BK_WAIT_ADAPTER, /* its engine must load the adapter first */
-    BK_WAIT_MODEL    /* no engine holds its model */
+    BK_WAIT_MODEL,   /* no engine holds its model */
+    BK_WAIT_PAUSE    /* every upstream that can serve it asked for a pause */
 } BkWaitCause;
 
 typedef struct BkWaitConf {
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -157,15 +157,19 @@
 void
 FrRequest_OnAskAnswer(FrRequest *request, bool granted, BkMs delay, BkMs now)
 {
-    if (granted) {
+    BkUp *up = request->up;
+    /* it may have asked for a pause, or said that it leaves, meanwhile */
+    bool closed = !BkUp_IsOpen(up) || now < up->throttle.held_until;
+
+    if (granted && !closed) {
         send_request(request, now);
         return;
     }
     if (delay > 0) {
-        request->up->throttled_until = now + delay;
+        up->throttled_until = now + delay;
     }
-    else {
-        request->up->full_until = now + FULL_BACKOFF;
+    else if (!closed) {
+        up->full_until = now + FULL_BACKOFF;
     }
     FrRequest_AbortAttempt(request);
     FrRequest_Dispatch(request);
@@ -204,6 +208,21 @@
     }
 }
 
+static BkMs
+until_ready(const FrRequest *request, BkMs now)
+{
+    switch (request->wait_cause) {
+    case BK_WAIT_ADAPTER:
+        return request->adapter_loadable_at - now;
+    case BK_WAIT_PAUSE:
+        return request->open_at - now;
+    case BK_WAIT_FULL:
+    case BK_WAIT_MODEL:
+        break;
+    }
+    return FrExpected_GetDelay(request->front, request->query.model, now);
+}
+
 BkWaitDecision
 FrRequest_DecideWait(FrRequest *request, int ahead, BkMs now)
 {
@@ -215,10 +234,7 @@
         .waited = now - request->started_at,
         .patience = request->patience,
         .until_deadline = request->deadline - now,
-        .until_ready =
-            request->wait_cause == BK_WAIT_ADAPTER
-                ? request->adapter_loadable_at - now
-                : FrExpected_GetDelay(front, request->query.model, now),
+        .until_ready = until_ready(request, now),
         .queue_delay = BkPace_EstimateWait(&pace_row->pace, ahead, now),
         .has_planner = FrPeers_HasPlanner(front->peers, now),
         .jitter_draw = BkRng_Unit(&front->rng)};
@@ -231,7 +247,9 @@
 {
     static const char *const reasons[] = {"those that could serve it are full",
                                           "its adapter is not at hand",
-                                          "no engine holds its model"};
+                                          "no engine holds its model",
+                                          "those that could serve it asked "
+                                          "for a pause"};
 
     FrRequest_GiveUp(request, reasons[request->wait_cause], retry_after);
 }
@@ -280,7 +298,9 @@
         request->adapter_loadable_at = choice.loadable_at;
         return wait_or_refuse(request, BK_WAIT_ADAPTER, now);
     case BK_PICK_FULL:
-        return wait_or_refuse(request, BK_WAIT_FULL, now);
+        request->open_at = choice.open_at;
+        return wait_or_refuse(
+            request, choice.open_at > now ? BK_WAIT_PAUSE : BK_WAIT_FULL, now);
     case BK_PICK_NO_MODEL:
         return wait_or_refuse(request, BK_WAIT_MODEL, now);
     case BK_PICK_ALL_TRIED:
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -67,10 +67,11 @@
 
 /* Counters shown at the metrics address. */
 typedef struct FrMetrics {
-    BkCounter *callers; /* open connections */
-    BkCounter *waiting; /* requests in the queue */
-    BkCounter *sends;   /* requests sent to upstreams, including retries */
-    BkCounter *retries; /* retries */
+    BkCounter *callers;   /* open connections */
+    BkCounter *waiting;   /* requests in the queue */
+    BkCounter *sends;     /* requests sent to upstreams, including retries */
+    BkCounter *retries;   /* retries */
+    BkCounter *hold_offs; /* upstreams that asked for a pause */
     BkCounter *retries_denied; /* retries that the budget did not allow */
     BkCounter *connects;       /* connections opened to upstreams */
     /* bytes to and from upstreams in other failure domains; see
@@ -335,6 +336,7 @@
     BkMs adapter_requested_at;
     /* when the first engine that holds its model can load the adapter */
     BkMs adapter_loadable_at;
+    BkMs open_at; /* when the first upstream that asked for a pause is back */
     bool model_missing;     /* at the last try, no engine held its model */
     bool queued;            /* in the queue now */
     bool was_queued;        /* was in the queue since the last attempt */
--- a/src/front/metrics.c
+++ b/src/front/metrics.c
@@ -19,6 +19,8 @@
                                "requests sent to upstreams"),
         .retries = BkCounter_Get("bk_front_repeats_total", NULL,
                                  "of these, not the first of their request"),
+        .hold_offs = BkCounter_Get("bk_front_hold_offs_total", NULL,
+                                   "upstreams that asked for a pause"),
         .retries_denied =
             BkCounter_Get("bk_front_no_budget_total", NULL,
                           "repeats that the budget did not allow"),
--- a/src/front/signals.h
+++ b/src/front/signals.h
@@ -1,10 +1,12 @@
 /*
  * signals - what upstreams ask for in their responses
  *
- * An upstream in need says in its responses how many requests it takes. The
- * fields are read by the platform adapter; what follows from them is decided
- * in bk/throttle and, for the requests of all daemons together, by the
- * upstream's coordinator (admission.h).
+ * An upstream in need says in its responses how many requests it takes, or
+ * that it wants none for a while; one that leaves says so too. The fields are
+ * read by the platform adapter. What follows from them is decided in bk/throttle
+ * and, for the requests of all daemons together, by the upstream's coordinator
+ * (admission.h). That it leaves is passed on to the other daemons by gossip;
+ * a hold-off binds this daemon alone.
  */
 #ifndef BK_FRONT_SIGNALS_H
 #define BK_FRONT_SIGNALS_H
@@ -12,8 +14,9 @@
 #include "bk/front/adapter.h"
 #include "front.h"
 
-/* The head of a response to the request came from the upstream that it was
- * sent to. A value that cannot be used is logged, and changes nothing. */
+/* The head of a response came from the upstream that the request was sent to,
+ * whether it is passed on or not. A value that cannot be used is logged, and
+ * changes nothing. */
 void FrSignals_Note(FrRequest *request, const BkResponseFields *fields,
                     BkMs now);
 
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -162,6 +162,8 @@
     uint64_t preferred_weight = 0;
     Matches matches = {0};
     BkMs loadable_at = INT64_MAX;
+    BkMs open_at = INT64_MAX;
+    bool all_held = true;
 
     for (int i = 0; i < fleet->count; i++) {
         BkUp *up = fleet->ups[i];
@@ -173,6 +175,13 @@
         BkMs possible_at =
             adapter == ADAPTER_ENGINE_BUSY ? up->no_order_until : 0;
         loadable_at = possible_at < loadable_at ? possible_at : loadable_at;
+        if (now < up->throttle.held_until) {
+            open_at = up->throttle.held_until < open_at
+                          ? up->throttle.held_until
+                          : open_at;
+            continue;
+        }
+        all_held = false;
         if (is_full(conf, query, up, now)) {
             continue;
         }
@@ -193,7 +202,9 @@
                               : !matches.with_model ? BK_PICK_NO_MODEL
                               : !matches.untried    ? BK_PICK_ALL_TRIED
                                                     : BK_PICK_FULL;
-        return (BkPickChoice){.result = reason};
+        return (BkPickChoice){
+            .result = reason,
+            .open_at = reason == BK_PICK_FULL && all_held ? open_at : 0};
     }
     if (preferred.up != NULL && preferred.penalty == best.penalty &&
         preferred.adapter == best.adapter &&
--- a/src/wait/wait.c
+++ b/src/wait/wait.c
@@ -42,6 +42,8 @@
         /* a planner that has not ordered a load by now will not order one
          * soon; the wait is taken to be as long as an election */
         return query->waited < conf->planner_delay ? -1 : conf->election_time;
+    case BK_WAIT_PAUSE:
+        return query->until_ready;
     }
     return -1;
 }
--- /dev/null
+++ b/tests/proof/case_front_signals.py
@@ -0,0 +1,185 @@
+"""Upstreams that say in their answers that they leave, or that they want
+nothing for a while."""
+import threading
+import time
+
+from basics import case, check, wait
+from case_front import runs, serve
+from case_front_limit import hear_each_other, press
+from case_front_state import ask, engines
+from platform_standins import Caller, Front, Replica, Store, configure, \
+    not_run, route, sealed
+
+HOLD_OFF_S = 2
+GRACE_S = 0.5   # until then, what was already sent may arrive
+TOLERATED = 2   # requests that may arrive after that
+
+
+def leaving(req, sock):
+    sock.sendall(sealed(req, fields="Server-Leaving: 1\r\n"))
+
+
+def refusal(seconds):
+    """A refusal that names a time in which the upstream wants nothing."""
+    return lambda req, sock: sock.sendall(not_run(req).replace(
+        b"Content-Length", b"Retry-After: %s\r\nContent-Length"
+        % str(seconds).encode()))
+
+
+class SheddingUpstream:
+    """Refuses for HOLD_OFF_S and then serves, and judges what came between."""
+
+    def __init__(self, upstream):
+        self.refused_at, self.arrivals, self.lock = [], [], threading.Lock()
+        upstream.handlers = [self.serve]
+
+    def serve(self, req, sock):
+        now = time.monotonic()
+        with self.lock:
+            self.arrivals.append(now)
+            shed = not self.refused_at or \
+                now < self.refused_at[0] + HOLD_OFF_S
+            if shed:
+                self.refused_at.append(now)
+        if shed:
+            return refusal(HOLD_OFF_S)(req, sock)
+        sock.sendall(sealed(req))
+        return True
+
+    def check(self):
+        first = self.refused_at[0]
+        between = [x for x in self.arrivals
+                   if first + GRACE_S <= x < first + HOLD_OFF_S]
+        check(len(between) <= TOLERATED, "%d requests in the hold-off",
+              len(between))
+        check(any(x >= first + HOLD_OFF_S for x in self.arrivals),
+              "it is not used again")
+
+
+@case
+def signals_leaving_by_answer(world):
+    """While the store is silent, an upstream says in an answer that it leaves:
+    that daemon and its peers send it nothing more, also after a report that it
+    is ready. A new process under its id is used again."""
+    store = Store()
+    configure(store, 1, [route("safe", "safe")])
+    upstreams = [Replica(store, "i-%d" % n, slots=50) for n in range(2)]
+    fronts = [Front(world, store, "front-%d" % n) for n in range(3)]
+    for front in fronts:
+        front.await_ready()
+    hear_each_other(fronts)
+    store.silent = True
+    upstreams[0].handlers = [leaving]
+    caller = Caller(fronts[0])
+    wait("it said so", lambda: (caller.ask("/safe/"), runs(upstreams[:1]))[1])
+    upstreams[0].runs.clear()
+    for _ in range(20):
+        check(caller.ask("/safe/")[0] == 200, "not served")
+    check(not runs(upstreams[:1]), "it got a request after it had said so")
+
+    def knows(front):
+        return any(x["id"] == "i-0" and x["is"] == "leaving"
+                   for x in front.events("upstream"))
+    wait("its peers know", lambda: all(knows(x) for x in fronts))
+    store.silent = False
+    upstreams[0].register(state="ready", sequence=2)
+    late = Replica(store, "i-late", slots=50)
+    wait("the report has come", lambda: all(any(
+        x["id"] == late.id for x in front.events("upstream"))
+        for front in fronts))
+    answers = press(fronts, 1, lambda caller: caller.ask("/safe/"))
+    check({code for code, _ in answers} == {200}, "%s", answers)
+    check(not runs(upstreams[:1]), "a report brought it back")
+    upstreams[0].handlers = [lambda req, sock: sock.sendall(sealed(req))]
+    upstreams[0].register(born=7)
+    wait("the new process is used", lambda: (
+        caller.ask("/safe/"), runs(upstreams[:1]))[1])
+
+
+@case
+def signals_leaving_by_refusal(world):
+    """An engine that refuses a request with the word that it leaves gets no
+    more, and another one serves the request."""
+    _, upstreams, (front,) = engines(world, [{"m1": set()}, {"m1": set()}])
+    upstreams[0].handlers = [lambda req, sock: sock.sendall(
+        not_run(req).replace(b"Content-Length",
+                             b"Server-Leaving: 1\r\nContent-Length"))]
+    for _ in range(10):
+        check(ask(front, "m1")[0] == 200, "not served")
+    check(len(runs(upstreams[:1])) == 1, "%d requests",
+          len(runs(upstreams[:1])))
+    wait("it counts as leaving", lambda: any(
+        x["id"] == "e-0" and x["is"] == "leaving"
+        for x in front.events("upstream")))
+
+
+@case
+def signals_hold_off(world):
+    """An upstream turns requests away and names a time: with callers that ask
+    all the time it gets nothing until then, the others serve, and afterwards
+    it is used again."""
+    store, upstreams, front = serve(world, 2, slots=50)
+    shedding = SheddingUpstream(upstreams[0])
+    answers = press([front], HOLD_OFF_S + 3,
+                    lambda caller: caller.ask("/once/", b""))
+    shedding.check()
+    check({code for code, _ in answers} == {200}, "%s",
+          {code for code, _ in answers})
+
+
+@case
+def signals_hold_off_of_last(world):
+    """The same for the only upstream of a service: the requests that it would
+    get meanwhile are refused as not run, or wait until it takes them."""
+    _, upstreams, front = serve(world, 1, slots=50)
+    shedding = SheddingUpstream(upstreams[0])
+    answers = press([front], HOLD_OFF_S + 3,
+                    lambda caller: caller.ask("/once/", b"",
+                                              X_Deadline_Ms="1000"))
+    shedding.check()
+    codes = {code for code, _ in answers}
+    check(codes == {200, 503}, "%s", codes)
+
+
+@case
+def signals_all_held_off(world):
+    """All engines of a model want nothing for a while: requests whose callers
+    do not wait that long are refused at once as not run, with a Retry-After of
+    that time, and none reaches an engine."""
+    _, (upstream,), (front,) = engines(world, [{"m1": set()}])
+    upstream.handlers = [refusal(30)]
+
+    def ask_once():
+        code, fields, _, _ = ask(front, "m1", X_Deadline_Ms="9000")
+        check(code == 503, "status %d", code)
+        return float(fields["retry-after"])
+    ask_once()
+    before = len(runs([upstream]))
+    start = time.monotonic()
+    delays = [ask_once() for _ in range(20)]
+    check(time.monotonic() - start < 9, "refusals are held back")
+    check(min(delays) > 2, "Retry-After %s, a third of 9 s is allowed",
+          min(delays))
+    check(len(runs([upstream])) == before, "it got a request")
+
+
+@case
+def signals_odd_values(world):
+    """Values that cannot be used are logged and change nothing."""
+    _, upstreams, front = serve(world, 1)
+    handlers = [lambda req, sock, line=line: sock.sendall(
+        sealed(req, fields=line + "\r\n")) for line in
+        ("Server-Leaving: yes", "Server-Leaving: 0", "Server-Limit: few")]
+    handlers += [refusal(x) for x in ("-1", "Fri, 04 Dec 2026 08:00:00 GMT")]
+    caller = Caller(front)
+    for handler in handlers:
+        upstreams[0].handlers = [handler]
+        caller.ask("/safe/")
+    upstreams[0].handlers = [lambda req, sock: sock.sendall(sealed(req))]
+    wait("it is still used", lambda: caller.ask("/safe/")[0] == 200)
+    for event, count in (("bad leaving flag, ignored", 2),
+                         ("bad rate limit, ignored", 1),
+                         ("bad hold-off, ignored", 2)):
+        wait(event, lambda: len(front.events(event)) >= count)
+    check(not [x for x in front.events("upstream") if x["is"] != "listed"],
+          "an odd value marked it")
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -67,7 +67,10 @@
 show_response(char **words, int count, BkBuf *out)
 {
     BkH1Parser *parser =
-        parse_head(BK_H1_RESPONSE, "HTTP/1.1 200 OK", words, count);
+        parse_head(BK_H1_RESPONSE,
+                   strcmp(words[0], "refusal") == 0 ? "HTTP/1.1 503 Busy"
+                                                    : "HTTP/1.1 200 OK",
+                   words, count);
     BkResponseFields fields;
 
     BkAdapter_ReadResponseFields(BkH1Parser_Head(parser), &fields);
@@ -80,6 +83,12 @@
         BkBuf_Printf(out, " limit %s%g", fields.bad_rate_limit ? "bad " : "",
                      fields.rate_limit);
     }
+    BkBuf_Printf(out, "%s%s%s", fields.leaving ? " leaving" : "",
+                 fields.bad_leaving ? " bad leaving" : "",
+                 fields.bad_hold_off ? " bad hold-off" : "");
+    if (fields.hold_off > 0) {
+        BkBuf_Printf(out, " hold-off %lld", (long long)fields.hold_off);
+    }
     if (fields.has_load) {
         BkBuf_Printf(out, " load %d+%d of %d", fields.running, fields.waiting,
                      fields.slots);
@@ -205,7 +214,8 @@
     if (strcmp(words[0], "request") == 0) {
         show_request(words, count, out);
     }
-    else if (strcmp(words[0], "response") == 0) {
+    else if (strcmp(words[0], "response") == 0 ||
+             strcmp(words[0], "refusal") == 0) {
         show_response(words, count, out);
     }
     else if (strcmp(words[0], "forward") == 0) {
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -77,15 +77,19 @@
     BkBuf_Printf(out, "  %s%s%s", results[choice.result],
                  choice.up == NULL ? "" : " ",
                  choice.up == NULL ? "" : choice.up->id);
+    if (choice.open_at > 0) {
+        BkBuf_Printf(out, " until %lld", (long long)choice.open_at);
+    }
     if (choice.result == BK_PICK_LOAD_ADAPTER && choice.loadable_at > 0) {
         BkBuf_Printf(out, " at %lld", (long long)choice.loadable_at);
     }
     BkBuf_Append(out, BK_STR("\n"));
 }
 
-/* avoid|busy|free|leaving|missing ID: puts the upstream into this state at the
-   time of the picks: to be avoided after a failure, executing an order, or no
-   longer, leaving, or with its report missing; new: removes all upstreams */
+/* avoid|busy|free|throttled|leaving|missing ID: puts the upstream into this
+   state at the time of the picks: to be avoided after a failure, executing an
+   order, or no longer, out of its rate limit, leaving, or with its report
+   missing; hold ID MS: it asked for a pause; new: removes all upstreams */
 static void
 run_pick(char **words, int count, BkBuf *out, void *arg)
 {
@@ -108,6 +112,12 @@
     else if (strcmp(words[0], "free") == 0) {
         up->no_order_until = 0;
     }
+    else if (strcmp(words[0], "hold") == 0) {
+        BkThrottle_NoteHoldOff(&up->throttle, atoll(words[2]), 0, 1000);
+    }
+    else if (strcmp(words[0], "throttled") == 0) {
+        up->throttled_until = 1500;
+    }
     else if (strcmp(words[0], "leaving") == 0) {
         BkFleet_MarkLeaving(&fixture->fleet, up, 0);
     }
--- a/tests/unit/test_wait.c
+++ b/tests/unit/test_wait.c
@@ -11,6 +11,9 @@
     if (strcmp(name, "full") == 0) {
         return BK_WAIT_FULL;
     }
+    if (strcmp(name, "pause") == 0) {
+        return BK_WAIT_PAUSE;
+    }
     return strcmp(name, "adapter") == 0 ? BK_WAIT_ADAPTER : BK_WAIT_MODEL;
 }
 
