--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -45,6 +45,7 @@
         self.world, self.rng = world, random.Random(world.seed)
         self.stopped, self.answers = threading.Event(), []
         self.lock, self.version = threading.Lock(), 0
+        self.senders = {}  # the front that each request was sent to
         # a program is killed when the thread that started it ends
         self.starter = concurrent.futures.ThreadPoolExecutor(1)
         self.store, self.incarnation, self.removed = Store(), 1, []
@@ -90,15 +91,17 @@
 
     def call(self, index):
         rng = random.Random(self.world.seed * 100 + index)
-        caller, turn = None, 0
+        caller, front, turn = None, None, 0
         while not self.stopped.is_set():
             turn += 1
             kind = rng.choice(("once", "safe", "flow", "again", "llm"))
             request_id = "%d-%d" % (index, turn)
             try:
                 if caller is None or rng.random() < 0.2:
-                    caller = Caller(rng.choice(self.fronts))
+                    front = rng.choice(self.fronts)
+                    caller = Caller(front)
                     caller.sock.settimeout(12)
+                self.senders[request_id] = front
                 model = rng.choice(MODELS) + rng.choice(("", "/a1", "/a2"))
                 fields = {"X_Model": model, "X_Token_Count": "300,9"} \
                     if kind == "llm" else {}
@@ -117,11 +120,13 @@
             if code == 0 or not whole or \
                     answer_fields.get("connection") == "close":
                 caller = None
-            with self.lock:
-                self.answers.append((request_id, kind, code, answer_fields,
-                                     body, whole))
+            self.record(request_id, kind, code, answer_fields, body, whole)
             time.sleep(rng.random() * 0.02)
 
+    def record(self, *answer):
+        with self.lock:
+            self.answers.append(answer)
+
     # faults; each method injects one and ends it
 
     def kill(self):
