planner: heed an engine that says in its answer to a poll or an order that it leaves

Cause: only answers to requests were read, so that an engine that no request had reached got requests until its report came.

Test: proof signals_leaving_by_answer_to_planner failed before (never came: it counts as leaving) and passes; signals_hold_off_renewed is new and passed before (a longer end counts, a new process ends it).

--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -91,6 +91,9 @@
  * head. */
 void BkAdapter_ReadResponseFields(const BkH1Head *head, BkResponseFields *out);
 
+/* Whether this field of a response says that the upstream leaves. */
+bool BkAdapter_SaysLeaving(BkStr name, BkStr value);
+
 /* Whether this status refuses a request or an order because it was meant for
  * another process, or because its model is not loaded there. */
 bool BkAdapter_IsMisdirected(int code);
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -276,6 +276,28 @@
     check_change_done(engine, state->busy, now);
 }
 
+static void
+on_header(BkHttpCall *call, BkStr name, BkStr value, void *arg)
+{
+    FrEngine *engine = arg;
+
+    engine->leaving_read |= BkAdapter_SaysLeaving(name, value);
+}
+
+/* If the response says that the engine leaves, marks it without waiting for its
+   report. */
+static void
+note_leaving(FrEngine *engine, const BkHttpResult *result, BkMs now)
+{
+    bool leaving = engine->leaving_read && result->http_status != 0 &&
+                   !BkAdapter_IsMisdirected(result->http_status);
+
+    engine->leaving_read = false;
+    if (leaving && engine->up->state != BK_UP_LEAVING) {
+        BkFleet_MarkLeaving(&engine->planner->front->fleet, engine->up, now);
+    }
+}
+
 static void
 on_state_answer(const BkHttpResult *result, BkStr body, void *arg)
 {
@@ -287,6 +309,7 @@
     if (free_if_removed(engine)) {
         return;
     }
+    note_leaving(engine, result, now);
     if (result->status != BK_OK || result->http_status != 200 ||
         BkAdapter_DecodeState(body, &state) != BK_OK) {
         BkLog_Event(BK_LOG_INFO, "planner", NULL, "engine unread", "s:s, s:i",
@@ -313,7 +336,9 @@
                            .url = url,
                            .headers = headers,
                            .connect_timeout = REQUEST_TIMEOUT,
-                           .timeout = REQUEST_TIMEOUT};
+                           .timeout = REQUEST_TIMEOUT,
+                           .on_header = on_header,
+                           .arg = engine};
     engine->polling = true;
     engine->last_poll_at = BkClock_Now();
     BkHttpClient_Fetch(engine->planner->front->http, &spec, MAX_RESPONSE_BYTES,
@@ -458,6 +483,7 @@
                 "expected", (json_int_t)engine->order.expected_order_count,
                 "try", engine->order.tries, "result", result_name(result),
                 "took_ms", (json_int_t)(now - engine->order.first_sent_at));
+    note_leaving(engine, http, now);
     handle_order_result(engine, result, now);
     FrEngine_Step(engine, now);
 }
@@ -489,7 +515,9 @@
                            .headers = headers,
                            .body = BkStr_FromC(body),
                            .connect_timeout = REQUEST_TIMEOUT,
-                           .timeout = REQUEST_TIMEOUT};
+                           .timeout = REQUEST_TIMEOUT,
+                           .on_header = on_header,
+                           .arg = engine};
     order->tries++;
     engine->order_in_flight = true;
     BkCounter_Add(planner->order_counter, 1);
--- a/tests/proof/case_front_signals.py
+++ b/tests/proof/case_front_signals.py
@@ -4,11 +4,11 @@
 import time
 
 from basics import case, check, wait
-from case_front import runs, serve
+from case_front import runs, serve, set_handlers
 from case_front_limit import hear_each_other, press
 from case_front_state import ask, engines
 from platform_standins import Caller, Front, Replica, Store, configure, \
-    not_run, route, sealed
+    not_run, raw_request, route, sealed
 
 HOLD_OFF_S = 2
 GRACE_S = 0.5   # until then, what was already sent may arrive
@@ -113,6 +113,28 @@
         for x in front.events("upstream")))
 
 
+@case
+def signals_leaving_by_answer_to_planner(world):
+    """An engine that no request has reached yet says that it leaves in its
+    answer to the planner's poll, or to an order: no request is sent there."""
+    for order in (False, True):
+        _, upstreams, (front,) = engines(
+            world, [{"m1": set()}, {"m1": set()}, {"m2": set()}])
+        if order:
+            wait("a planner", lambda: ask(front, "m1/a1")[0] == 200)
+        leaver = upstreams[2]
+        leaver.state_fields = b"Server-Leaving: 1\r\n"
+        if order:  # it is ordered to load the adapter, and says so
+            ask(front, "m2/a1", X_Deadline_Ms="1500")
+        wait("it counts as leaving", lambda: any(
+            x["id"] == leaver.id and x["is"] == "leaving"
+            for x in front.events("upstream")))
+        before = len(runs([leaver]))
+        ask(front, "m2", X_Deadline_Ms="1000")
+        check(len(runs([leaver])) == before, "it got a request")
+        front.kill()
+
+
 @case
 def signals_hold_off(world):
     """An upstream turns requests away and names a time: with callers that ask
@@ -141,6 +163,34 @@
     check(codes == {200, 503}, "%s", codes)
 
 
+@case
+def signals_hold_off_renewed(world):
+    """An upstream names a time, and a longer one in the refusal of a request
+    that was on its way: the later end counts. A new process under its id
+    wants requests at once."""
+    store, upstreams, front = serve(world, 1, slots=50)
+    in_flight = threading.Event()
+
+    def refuse_later(req, sock):
+        in_flight.wait(20)
+        return refusal(60)(req, sock)
+    set_handlers(upstreams[0], refuse_later, refusal(0.5))
+    slow, quick = Caller(front), Caller(front)
+    slow.send(raw_request("/once/", b"", X_Deadline_Ms="1500"))
+    wait("it is on its way", lambda: runs(upstreams))
+    check(quick.ask("/once/", b"", X_Deadline_Ms="300")[0] == 503,
+          "served in the hold-off")
+    in_flight.set()
+    check(slow.read_answer()[0] == 503, "served in the hold-off")
+    time.sleep(1)
+    upstreams[0].runs.clear()
+    check(quick.ask("/once/", b"", X_Deadline_Ms="1000")[0] == 503 and
+          not runs(upstreams), "it got a request before the longer end")
+    upstreams[0].register(born=7)
+    wait("the new process is used", lambda: quick.ask(
+        "/once/", b"", X_Deadline_Ms="1000")[0] == 200)
+
+
 @case
 def signals_all_held_off(world):
     """All engines of a model want nothing for a while: requests whose callers
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -219,6 +219,7 @@
         # report takes
         self.order_time, self.report_lag, self.report_time = 0, 0, 0
         self.busy, self.overcommits, self.reports = None, [], []
+        self.state_fields = b""  # header lines of answers to the planner
         self.lock = threading.Lock()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -290,8 +291,8 @@
 
     def send_json(self, connection, code, value):
         text = json.dumps(value).encode()
-        connection.sendall(b"HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n"
-                           % (code, len(text)) + text)
+        connection.sendall(b"HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n"
+                           % (code, self.state_fields, len(text)) + text)
         return True
 
     def report(self):
