throttle: ask again within a second after a denial

Cause: a daemon that a low limit did not admit asked again when the next request was due, up to 10 s later, and kept to that although the limit had ended meanwhile. Found by reading.

Change: a denial holds for a second at most; the end of a limit ends it.

--- a/src/front/admission.c
+++ b/src/front/admission.c
@@ -23,6 +23,9 @@
     /* ms in which an upstream with a rate limit is not asked for again after
        its coordinator did not answer */
     UNANSWERED_PAUSE = 200,
+    /* ms, at most, until a daemon asks again that a rate limit did not admit:
+       the limit may have risen or ended */
+    MAX_DENIAL = 1000,
     /* ms, at most, by which the further asks of daemons are spread when a
        rate limit admitted none of them */
     DENIAL_SPREAD = 150,
@@ -161,7 +164,8 @@
         BkThrottle_Take(&up->throttle, now);
         return 0;
     }
-    return delay + (BkMs)BkRng_Below(&front->rng, DENIAL_SPREAD);
+    return (delay < MAX_DENIAL ? delay : MAX_DENIAL) +
+           (BkMs)BkRng_Below(&front->rng, DENIAL_SPREAD);
 }
 
 FrAskResult
--- a/src/front/signals.c
+++ b/src/front/signals.c
@@ -9,6 +9,7 @@
     if (!BkThrottle_NoteLimit(&up->throttle, rate, seen_at, now)) {
         return;
     }
+    up->throttled_until = 0;
     BkLog_Event(BK_LOG_NOTICE, "throttle", NULL,
                 rate < 0 ? "rate limit ended" : "rate limit",
                 "s:s, s:f, s:s, s:I", "upstream", up->id, "per_s",
