--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -245,11 +245,11 @@
 void
 FrRequest_RefuseWait(FrRequest *request, BkMs retry_after)
 {
-    static const char *const reasons[] = {"those that could serve it are full",
-                                          "its adapter is not at hand",
-                                          "no engine holds its model",
-                                          "those that could serve it asked "
-                                          "for a pause"};
+    static const char *const reasons[] = {
+        [BK_WAIT_FULL] = "those that could serve it are full",
+        [BK_WAIT_ADAPTER] = "its adapter is not at hand",
+        [BK_WAIT_MODEL] = "no engine holds its model",
+        [BK_WAIT_PAUSE] = "those that could serve it want a pause"};
 
     FrRequest_GiveUp(request, reasons[request->wait_cause], retry_after);
 }
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -71,6 +71,10 @@
     BkMs read_again_at;
 };
 
+/* apply_rows.c: applies the rows of a reply to the configuration in force, or
+ * to the fleet */
+void FrSync_ApplyRows(FrTableSync *table, const BkStoreReply *reply, BkMs now);
+
 /* Applies a row of the reports table to the fleet. */
 void FrSync_ApplyReport(FrFront *front, const BkStoreRow *row, BkMs now);
 
