--- a/bench/policy/cost.c
+++ b/bench/policy/cost.c
@@ -4,10 +4,10 @@
  */
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #include "bk/place/place.h"
 #include "bk/route/route.h"
+#include "cpu_time.h"
 
 enum {
     COPIES = 2,
@@ -104,15 +104,6 @@
     free(setup->drained);
 }
 
-static double
-cpu_seconds(void)
-{
-    struct timespec now;
-
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
-}
-
 static double
 time_place(const Setup *setup)
 {
--- a/bench/policy/pick_cost.c
+++ b/bench/policy/pick_cost.c
@@ -4,10 +4,10 @@
  * their rate limit. Not part of make bench, since times differ from run to run.
  */
 #include <stdio.h>
-#include <time.h>
 
 #include "bk/base/log.h"
 #include "bk/pick/pick.h"
+#include "cpu_time.h"
 
 enum {
     MODELS = 471,
@@ -46,15 +46,6 @@
     return up;
 }
 
-static double
-cpu_seconds(void)
-{
-    struct timespec now;
-
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return (double)now.tv_sec + (double)now.tv_nsec / 1e9;
-}
-
 /* Returns the seconds of one choice. */
 static double
 time_pick(const BkFleet *fleet)
