proof: upstreams of the soaks answer rightly from their first request on

The body ok is that of the stand-in's default handler: an upstream registered in its constructor and got its own handler only afterwards, so that a request in between, for a stream, got that answer. Seen from the body and the order of the lines; the handler is an argument now, and what the judge needs stands before the first request.

--- a/tests/proof/case_front_signals_soak.py
+++ b/tests/proof/case_front_signals_soak.py
@@ -32,28 +32,36 @@
                 "leave": "Server-Leaving: 1\r\n", "hold": ""}[self.kind]
 
 
+class Said:
+    """What an upstream says now, and the requests that it got."""
+
+    def __init__(self):
+        self.word, self.arrivals, self.upstream = None, [], None
+
+
 class SignalsSoak(Soak):
     def __init__(self, world):
         self.words, self.told, self.refused = [], [], []
         super().__init__(world)
 
     def replica(self, name, service="app", models=None):
-        upstream = super().replica(name, service, models)
-        upstream.word, upstream.arrivals = None, []
-        upstream.handlers = [
-            lambda req, sock: self.answer(upstream, req, sock)]
+        said = Said()
+        upstream = super().replica(
+            name, service, models,
+            lambda req, sock: self.answer(said, req, sock))
+        said.upstream, upstream.said = upstream, said
         return upstream
 
-    def answer(self, upstream, req, sock):
+    def answer(self, said, req, sock):
         now = time.monotonic()
         with self.lock:
-            upstream.arrivals.append((now, req.id))
-            word = upstream.word
+            said.arrivals.append((now, req.id))
+            word = said.word
         if word and word.kind == "hold":
-            with upstream.lock:
-                upstream.runs.remove(req)
+            with said.upstream.lock:
+                said.upstream.runs.remove(req)
             with self.lock:
-                self.refused.append((now, upstream, req.id, word))
+                self.refused.append((now, said.upstream, req.id, word))
             sock.sendall(not_run(req).replace(
                 b"Content-Length",
                 b"Retry-After: %d\r\nContent-Length" % HOLD_OFF_S))
@@ -82,14 +90,14 @@
         kind = self.rng.choice(("limit", "limit", "leave", "hold"))
         word = Word(upstream, kind, self.rng.choice((0, 0.7, 1.2, 3, 10)))
         with self.lock:
-            if upstream.word:
+            if upstream.said.word:
                 return
-            upstream.word = word
+            upstream.said.word = word
             self.words.append(word)
         time.sleep({"limit": 6, "leave": 4, "hold": HOLD_OFF_S / 2}[kind])
         with self.lock:
             word.end = time.monotonic()
-            upstream.word = None
+            upstream.said.word = None
         if kind == "leave":
             self.replace(upstream)
 
@@ -110,13 +118,13 @@
 
 
 def arrivals_of(soak, upstream, front):
-    return [at for at, request_id in upstream.arrivals
+    return [at for at, request_id in upstream.said.arrivals
             if soak.senders.get(request_id) is front]
 
 
 def fronts_told(soak, word):
     """When each front first passed on an answer with this word."""
-    ids = {request_id for _, request_id in word.upstream.arrivals}
+    ids = {request_id for _, request_id in word.upstream.said.arrivals}
     first = {}
     for at, request_id in soak.told:
         if request_id in ids and word.begin <= at:
--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -70,11 +70,12 @@
             route("llm", "streaming", service="llm", targetLatencyMs=500),
             route("extra%d" % self.version, "safe")], ("app", "llm"), ENGINE)
 
-    def replica(self, name, service="app", models=None):
-        upstream = Replica(self.store, name, service, slots=8, models=models)
+    def replica(self, name, service="app", models=None, handler=handle):
+        # requests may come as soon as it has registered
+        upstream = Replica(self.store, name, service, slots=8, models=models,
+                           handler=handler)
         upstream.proxy = Proxy(upstream.addr)
         upstream.real, upstream.addr = upstream.addr, upstream.proxy.addr
-        upstream.handlers = [handle]
         if models is not None:
             upstream.order_time, upstream.report_lag = 0.2, 0.1
         upstream.born = self.incarnation
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -209,10 +209,11 @@
     requests; the last one is kept. handler(req, connection) answers on the
     socket, and returns False to have it closed."""
 
-    def __init__(self, store, name, service="app", slots=4, models=None):
+    def __init__(self, store, name, service="app", slots=4, models=None,
+                 handler=lambda req, sock: sock.sendall(sealed(req))):
         self.store, self.id, self.service = store, name, service
         self.slots, self.models = slots, models
-        self.handlers = [lambda req, sock: sock.sendall(sealed(req))]
+        self.handlers = [handler]
         self.runs, self.orders, self.closed = [], [], []
         self.order_count, self.fence, self.answers_to_lose = 0, 0, 0
         # seconds: how long an order takes, the age of reports, how long a
