sync: read the rows of the reports after a failed call while others are served

Cause: a reader that was cut off read the rows of the reports only if it knew by its peers how far it was behind. If its path was back before their messages said so, it asked for all changes.

Change: after a failed call it reads the rows if peers reach the store. If none does, the store was away for all, and a reader needs the changes to pass them on.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -365,6 +365,12 @@
         return !is_followed(table, now) ||
                now - table->replied_at >= MAX_FEED_GAP;
     case FR_TABLE_REPORTS:
+        /* Others went on while this daemon was cut off. In an outage for all,
+           a reader needs the changes, to pass them on. */
+        if (table->failures > 0 &&
+            FrPeers_AnyReachesStore(sync->front->peers, now)) {
+            return true;
+        }
         /* the store's version rises by one with each change */
         return table->peer_version >
                table->version + (uint64_t)sync->front->fleet.count;
