sync: one call of the store for the time after a start

Change: one feed that waits until the end of that time. Tests: proofs front_catch_up and state_silent_store pass; the calls on the large deployment were not counted again.

--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -380,6 +380,22 @@
     return false;
 }
 
+/* How long the store may wait for changes. A daemon that does not follow the
+   table only fetches what it lacks; one that has just started makes a single
+   call if nothing changes. */
+static BkMs
+choose_wait(const FrTableSync *table)
+{
+    const FrSync *sync = table->sync;
+
+    if (sync->reader) {
+        return FEED_WAIT;
+    }
+    return is_followed(table, table->called_at)
+               ? SITE_START_TIME - (table->called_at - sync->front->started_at)
+               : 0;
+}
+
 static void
 send_call(FrTableSync *table)
 {
@@ -393,10 +409,7 @@
         table->reading_list = false;
     }
     table->asked_after = table->version;
-    /* a daemon that does not follow the table only fetches what it lacks */
-    table->feed_wait = table->list_done && is_followed(table, table->called_at)
-                           ? FEED_WAIT
-                           : 0;
+    table->feed_wait = table->list_done ? choose_wait(table) : 0;
     BkStoreTimeouts limit = {.total = table->feed_wait + reply_timeout(table),
                              .first_byte = silence_timeout(table),
                              .idle = silence_timeout(table)};
