--- a/src/front/front.h
+++ b/src/front/front.h
@@ -321,6 +321,10 @@
     BkBuf response_fields;   /* header lines for the caller */
     int response_code;       /* status */
     int64_t response_length; /* of the body; -1: not known */
+    /* what tells where the upstream's response ends: "length", "chunks" or
+       "close"; NULL: no response yet; static string */
+    const char *framing;
+    size_t partial_event; /* bytes after the last whole event at its end */
     BkBuf pending_body;      /* part of the body not yet sent to the caller */
     bool response_begun;     /* the response to the caller has begun */
     BkMs response_begun_at;  /* when it began */
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -60,7 +60,7 @@
     BkLog_Event(
         BK_LOG_INFO, "relay", request->id, "answered",
         "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
-        "s:I, s:I, s:I, s:I",
+        "s:I, s:I, s:I, s:I, s:s?, s:I",
         "route", request->route, "service", request->service, "model",
         request->model, "adapter", request->adapter, "code", code, "why",
         request->why, "upstream", request->last_up_id, "sends",
@@ -81,7 +81,9 @@
         (json_int_t)(now - request->started_at), "config",
         (json_int_t)(request->front->site == NULL
                          ? 0
-                         : request->front->site->version));
+                         : request->front->site->version),
+        "framing", request->framing, "partial_event",
+        (json_int_t)request->partial_event);
 }
 
 void
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -118,6 +118,9 @@
         return FR_HEAD_SKIP;
     }
     request->last_up_code = head->http_status;
+    request->framing = head->chunked       ? "chunks"
+                       : head->until_close ? "close"
+                                           : "length";
     if (fields.not_run || BkAdapter_IsMisdirected(head->http_status)) {
         return handle_refusal(request, head, &fields);
     }
@@ -187,16 +190,20 @@
     request->response_begun_at = BkClock_Now();
 }
 
+/* Whether the body is a series of events, and not that of an error. */
+static bool
+is_event_stream(const FrRequest *request)
+{
+    return request->kind == BK_ROUTE_STREAM && request->response_code < 300;
+}
+
 void
 FrRequest_OnBody(FrRequest *request, BkStr data)
 {
-    bool is_stream =
-        request->kind == BK_ROUTE_STREAM && request->response_code < 300;
-
     note_prompt_processed(request);
     record_pause(request);
     BkBuf_Append(&request->pending_body, data);
-    if (is_stream) {
+    if (is_event_stream(request)) {
         FrStream_ForwardEvents(request);
     }
     else if (request->pending_body.len > MAX_HELD_BACK ||
@@ -217,6 +224,8 @@
 FrRequest_OnExchangeEnd(FrRequest *request, FrExchangeResult result)
 {
     request->conn = NULL;
+    request->partial_event =
+        is_event_stream(request) ? request->pending_body.len : 0;
     switch (result) {
     case FR_EXCHANGE_DONE:
         break;
