--- a/tests/proof/case_front.py
+++ b/tests/proof/case_front.py
@@ -468,6 +468,18 @@
     return handler
 
 
+def unframed_events(last, cut=None, end=lambda sock: False):
+    """Like stream_events, with an answer that has neither a length nor chunks
+    and ends with its connection."""
+    def handler(req, sock):
+        first_id = int((req.all("last-event-id") or [0])[0]) + 1
+        sock.sendall(stream_head(req).replace(
+            b"Transfer-Encoding: chunked\r\n", b"") +
+            stream_bytes(first_id, last)[:cut])
+        return end(sock)
+    return handler
+
+
 def first_then(first, then):
     """A handler that calls first for the first request at any upstream, and
     then for all later ones."""
@@ -504,6 +516,44 @@
                 Caller(front).ask("/safe/")[0] == 200)[1])
 
 
+@case
+def front_stream_ends_inside_event(world):
+    """A stream that ends with its connection, or whose framing is complete,
+    but in the middle of an event, or before its first one, has been broken
+    off."""
+    _, upstreams, front = serve(world)
+    whole = stream_bytes(1, 9)
+    between_events = {len(stream_bytes(1, n)) for n in range(10)}
+
+    def short_frame(cut):
+        return lambda req, sock: sock.sendall(
+            stream_head(req) + chunk(whole[:cut]) + b"0\r\n\r\n")
+    for upstream in upstreams:
+        upstream.handlers = [unframed_events(9)]
+    for path in ("/again/", "/flow/"):
+        _, _, body, complete = Caller(front).ask(path, b"")
+        check((body, complete) == (whole, True), "whole: %r", body)
+    cuts = sorted(set(range(len(whole))) - between_events)
+    answers = [(0, unframed_events(9, 0))] + [
+        (cut, answer) for cut in cuts for answer in (
+            unframed_events(9, cut), unframed_events(9, cut, reset),
+            short_frame(cut))]
+    for cut, answer in answers:
+        handler = first_then(answer, unframed_events(9))
+        for upstream in upstreams:
+            upstream.handlers = [handler]
+        _, _, body, complete = Caller(front).ask("/again/", b"")
+        check((body, complete) == (whole, True), "cut at %d: %r", cut, body)
+        for upstream in upstreams:
+            upstream.handlers = [answer]
+        code, _, body, complete = Caller(front).ask("/flow/", b"")
+        check(not complete or code == 502, "cut at %d looks whole: %r", cut,
+              body)
+        wait("no upstream is avoided", lambda: (
+            [set_handlers(upstream) for upstream in upstreams],
+            Caller(front).ask("/safe/")[0] == 200)[1])
+
+
 @case
 def front_caller_resumes(world):
     """A caller resumes a stream after an event that it has. If that stream is
