front: a stream that ends inside an event has been broken off

Cause: a response without length and chunks ends with its connection, and an orderly close was taken for the end of the stream; the piece of an event that was held back went out, and behind it the last chunk. An upstream that crashes closes its connection just so.

Ruled out: runs that were joined (one send, no failed run in each). Framing by a last chunk too early is handled alike, since the check looks at the last event and not at the framing. A stream that ends with its connection before its first event is broken off too: nothing says that it is complete.

Tests: stand-ins answered streams with "ok", which is no whole event.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -273,6 +273,14 @@
     FR_ENDED
 } FrStage;
 
+/* What tells where the response of an upstream ends. */
+typedef enum FrFraming {
+    FR_FRAMING_NONE, /* no response yet */
+    FR_FRAMING_LENGTH,
+    FR_FRAMING_CHUNKS,
+    FR_FRAMING_CLOSE /* the end of its connection */
+} FrFraming;
+
 struct FrRequest {
     FrFront *front;
     /* connection of its caller; NULL once the response is complete or the
@@ -321,10 +329,8 @@
     BkBuf response_fields;   /* header lines for the caller */
     int response_code;       /* status */
     int64_t response_length; /* of the body; -1: not known */
-    /* what tells where the upstream's response ends: "length", "chunks" or
-       "close"; NULL: no response yet; static string */
-    const char *framing;
-    size_t partial_event; /* bytes after the last whole event at its end */
+    FrFraming framing;       /* of the upstream's last response */
+    size_t partial_event;    /* bytes after the last whole event at its end */
     BkBuf pending_body;      /* part of the body not yet sent to the caller */
     bool response_begun;     /* the response to the caller has begun */
     BkMs response_begun_at;  /* when it began */
@@ -396,6 +402,10 @@
  * the part of an incomplete one */
 void FrStream_ForwardEvents(FrRequest *request);
 
+/* Whether a stream was broken off although its framing is complete: it ended
+ * inside an event, or with its connection before the first one. */
+bool FrStream_IsBrokenOff(const FrRequest *request);
+
 /* queue.c */
 void FrQueue_Add(FrRequest *request);
 void FrQueue_Remove(FrRequest *request);
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -55,6 +55,10 @@
 static void
 log_outcome(const FrRequest *request, int code)
 {
+    static const char *const framings[] = {[FR_FRAMING_NONE] = NULL,
+                                           [FR_FRAMING_LENGTH] = "length",
+                                           [FR_FRAMING_CHUNKS] = "chunks",
+                                           [FR_FRAMING_CLOSE] = "close"};
     BkMs now = BkClock_Now();
 
     BkLog_Event(
@@ -82,7 +86,7 @@
         (json_int_t)(request->front->site == NULL
                          ? 0
                          : request->front->site->version),
-        "framing", request->framing, "partial_event",
+        "framing", framings[request->framing], "partial_event",
         (json_int_t)request->partial_event);
 }
 
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -118,9 +118,9 @@
         return FR_HEAD_SKIP;
     }
     request->last_up_code = head->http_status;
-    request->framing = head->chunked       ? "chunks"
-                       : head->until_close ? "close"
-                                           : "length";
+    request->framing = head->chunked       ? FR_FRAMING_CHUNKS
+                       : head->until_close ? FR_FRAMING_CLOSE
+                                           : FR_FRAMING_LENGTH;
     if (fields.not_run || BkAdapter_IsMisdirected(head->http_status)) {
         return handle_refusal(request, head, &fields);
     }
@@ -228,6 +228,11 @@
         is_event_stream(request) ? request->pending_body.len : 0;
     switch (result) {
     case FR_EXCHANGE_DONE:
+        if (is_event_stream(request) && FrStream_IsBrokenOff(request)) {
+            FrRequest_FailAttempt(request, true, true,
+                                  "the stream ended inside an event");
+            return;
+        }
         break;
     case FR_EXCHANGE_UNSENT:
         FrRequest_FailAttempt(request, false, true,
--- a/src/front/stream.c
+++ b/src/front/stream.c
@@ -81,3 +81,13 @@
         BkBuf_Consume(&request->pending_body, n);
     }
 }
+
+bool
+FrStream_IsBrokenOff(const FrRequest *request)
+{
+    bool began = request->response_begun || request->has_last_event;
+
+    /* the end of a connection says nothing about the end of the stream */
+    return request->partial_event > 0 ||
+           (request->framing == FR_FRAMING_CLOSE && !began);
+}
--- a/tests/proof/case_front.py
+++ b/tests/proof/case_front.py
@@ -5,8 +5,8 @@
 import time
 
 from basics import case, check, wait
-from platform_standins import (Caller, Front, Replica, Store, configure,
-                               not_run, raw_request, route, sealed)
+from platform_standins import (ANSWER, Caller, Front, Replica, Store,
+                               configure, not_run, raw_request, route, sealed)
 
 
 def serve(world, count=2, **keys):
@@ -307,7 +307,7 @@
             set_handlers(upstream)
         code, fields, body, _ = caller.ask("/once/", b"",
                                            X_Request_Id="next")
-        check((code, body, fields["x-request-id"]) == (200, b"ok", "next"),
+        check((code, body, fields["x-request-id"]) == (200, ANSWER, "next"),
               "after %s: %s %r", name, code, body)
 
 
@@ -575,8 +575,11 @@
         wait("no upstream is avoided", lambda: (
             [set_handlers(upstream) for upstream in upstreams],
             Caller(front).ask("/safe/")[0] == 200)[1])
-    code, _, body, _ = Caller(front).ask("/flow/", b"", Last_Event_Id="5")
-    check(code == 200, "%s", code)
+    for upstream in upstreams:
+        upstream.handlers = [stream_events(9)]
+    code, _, body, complete = Caller(front).ask("/flow/", b"",
+                                                Last_Event_Id="5")
+    check((code, body, complete) == (200, whole, True), "%s: %r", code, body)
     check(runs(upstreams)[-1].all("last-event-id") == ["5"],
           "not passed on exactly once")
 
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -192,7 +192,10 @@
                 if x.split(":")[0].lower() == name]
 
 
-def sealed(req, body=b"ok", code=200, fields=""):
+ANSWER = b"ok\n\n"  # as a stream, one whole event
+
+
+def sealed(req, body=ANSWER, code=200, fields=""):
     """The bytes of a whole answer, with a seal."""
     return ("HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nX-Server-Seal: seal\r\n"
             "%sContent-Length: %d\r\n\r\n" % (
