front: log the software versions of upstreams, and which stream a request takes up

The report's version is decoded (`software` in the lines upstream, sent, attempt failed, answered), and the id that a caller names (`resumed` in answered). No decision changes.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -59,7 +59,9 @@
     char *service;
     uint32_t service_key;
     char *domain;
-    uint64_t started_at; /* start time, in ms since 1970; 0: not reported */
+    char *software;        /* version of its software; "": not reported */
+    uint32_t software_key; /* BkStr_NameHash of the above */
+    uint64_t started_at;   /* start time, in ms since 1970; 0: not reported */
     BkUpState state;
     BkMs state_since;
     /* how long it may stay BK_UP_MISSING before it is gone */
--- a/include/bk/fleet/report.h
+++ b/include/bk/fleet/report.h
@@ -25,7 +25,9 @@
     char *id;
     char *address; /* "ip:port" */
     char *service;
-    char *domain;    /* failure domain */
+    char *domain; /* failure domain */
+    /* version of its own software, not of the weights; NULL: not reported */
+    char *software;
     int slots;       /* requests that it can run at the same time */
     bool draining;   /* finishes its requests and accepts no new ones */
     BkMs removal_in; /* time until it is removed; BK_MS_NEVER: not reported */
--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -39,6 +39,9 @@
     int part_count;
     bool resumes; /* resumes a stream after last_event */
     uint64_t last_event;
+    /* id of the request that brought the first event of that stream; empty:
+       not named */
+    BkStr resumed_id;
 } BkRequestFields;
 
 /* The header fields that the daemon adds to a request to an upstream. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -26,6 +26,7 @@
     free(report->address);
     free(report->service);
     free(report->domain);
+    free(report->software);
     for (int i = 0; i < report->model_count; i++) {
         for (int k = 0; k < report->models[i].adapter_count; k++) {
             free(report->models[i].adapters[k]);
@@ -62,6 +63,7 @@
     free(up->address);
     free(up->service);
     free(up->domain);
+    free(up->software);
     free(up);
 }
 
@@ -293,6 +295,9 @@
     up->service = BkStr_Dup(BkStr_FromC(report->service));
     up->service_key = BkStr_NameHash(BkStr_FromC(report->service));
     up->domain = BkStr_Dup(BkStr_FromC(report->domain));
+    up->software = BkStr_Dup(
+        BkStr_FromC(report->software == NULL ? "" : report->software));
+    up->software_key = BkStr_NameHash(BkStr_FromC(up->software));
     up->started_at = report->started_at;
     up->state = BK_UP_LISTED;
     up->state_since = now;
@@ -328,9 +333,10 @@
     }
     BkUp *up = create_up(report, now);
     insert_up(fleet, index, up);
-    BkLog_Event(BK_LOG_INFO, "fleet", NULL, "upstream", "s:s, s:s, s:s, s:I",
-                "id", up->id, "is", "listed", "address", up->address, "born",
-                (json_int_t)up->started_at);
+    BkLog_Event(BK_LOG_INFO, "fleet", NULL, "upstream",
+                "s:s, s:s, s:s, s:I, s:s", "id", up->id, "is", "listed",
+                "address", up->address, "born", (json_int_t)up->started_at,
+                "software", up->software);
     return up;
 }
 
--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -103,6 +103,8 @@
                             : timeout;
     request->has_last_event = fields->resumes;
     request->last_event = fields->last_event;
+    snprintf(request->resumed_id, sizeof(request->resumed_id), "%.*s",
+             BK_STR_ARG(fields->resumed_id));
     request->why = "in progress";
     request->response_length = -1;
     snprintf(request->id, sizeof(request->id), "%.*s", BK_STR_ARG(fields->id));
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -101,6 +101,8 @@
         return;
     }
     snprintf(request->last_up_id, sizeof(request->last_up_id), "%s", up->id);
+    snprintf(request->last_software, sizeof(request->last_software), "%s",
+             up->software);
     if (request->query.adapter != 0) {
         FrDemand_NoteAdapterUse(front->planner, up, request->query.model,
                                 request->query.adapter);
@@ -117,9 +119,9 @@
     }
     BkCounter_Add(front->metrics.sends, 1);
     BkLog_Event(BK_LOG_DEBUG, "relay", request->id, "sent",
-                "s:s, s:i, s:I, s:I, s:i, s:I", "upstream", up->id, "send",
-                request->send_count, "waited_ms",
-                (json_int_t)(now - request->started_at), "unread",
+                "s:s, s:s, s:i, s:I, s:I, s:i, s:I", "upstream", up->id,
+                "software", up->software, "send", request->send_count,
+                "waited_ms", (json_int_t)(now - request->started_at), "unread",
                 (json_int_t)(up->own_prompt_tokens + up->peer_prompt_tokens),
                 "running", up->own_running + up->peer_running,
                 "report_version", (json_int_t)up->row_version);
@@ -374,10 +376,10 @@
         count_failure(up, now);
     }
     BkLog_Event(BK_LOG_INFO, "relay", request->id, "attempt failed",
-                "s:s, s:s, s:b, s:I, s:i, s:i", "upstream", up->id, "why", why,
-                "may_have_run", may_have_run, "after_ms",
-                (json_int_t)(now - request->sent_at), "sends",
-                request->send_count, "code", request->last_up_code);
+                "s:s, s:s, s:s, s:b, s:I, s:i, s:i", "upstream", up->id,
+                "software", up->software, "why", why, "may_have_run",
+                may_have_run, "after_ms", (json_int_t)(now - request->sent_at),
+                "sends", request->send_count, "code", request->last_up_code);
     if (!BkAdapter_IsMisdirected(request->last_up_code) || may_have_run) {
         /* an upstream that only lacked the model does not count as tried: it
            may have the model again soon */
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -40,6 +40,7 @@
 
 enum {
     FR_REQUEST_ID_BYTES = 128,
+    FR_SOFTWARE_BYTES = 32,   /* of a software version in the log */
     FR_MAX_SERVICES = 64,     /* services with a separate retry budget */
     FR_MAX_QUEUE_PACES = 4096 /* services and models with a known pace */
 };
@@ -319,7 +320,8 @@
     FrUpConn *conn;                       /* of the current attempt, like up */
     BkUp *up;                             /* its load includes this request */
     char last_up_id[FR_REQUEST_ID_BYTES]; /* id of the last upstream */
-    BkMs sent_at;                         /* time of the last attempt */
+    char last_software[FR_SOFTWARE_BYTES]; /* its version of its software */
+    BkMs sent_at;                          /* time of the last attempt */
     bool prompt_counted; /* the prompt is counted as unprocessed there */
     int send_count;      /* attempts */
     int run_count;       /* failed attempts that may have run */
@@ -340,6 +342,9 @@
     /* id of the last event that was sent to the caller, or that it already
        had when it sent the request */
     uint64_t last_event;
+    /* id of the request that brought the first event of the stream that this
+       one resumes; "": none, or not named */
+    char resumed_id[FR_REQUEST_ID_BYTES];
     const char *why; /* reason of the outcome; static string */
 
     /* when the planner was last asked for the adapter */
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -64,7 +64,8 @@
     BkLog_Event(
         BK_LOG_INFO, "relay", request->id, "answered",
         "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
-        "s:I, s:I, s:I, s:I, s:s?, s:I",
+        "s:I, s:I, s:I, s:I, s:s?, s:I, s:s, "
+        "s:s",
         "route", request->route, "service", request->service, "model",
         request->model, "adapter", request->adapter, "code", code, "why",
         request->why, "upstream", request->last_up_id, "sends",
@@ -87,7 +88,8 @@
                          ? 0
                          : request->front->site->version),
         "framing", framings[request->framing], "partial_event",
-        (json_int_t)request->partial_event);
+        (json_int_t)request->partial_event, "software", request->last_software,
+        "resumed", request->resumed_id);
 }
 
 void
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -56,7 +56,8 @@
                      (long long)fields.parts[i].tokens);
     }
     if (fields.resumes) {
-        BkBuf_Printf(out, " resumes after event %llu",
+        BkBuf_Printf(out, " resumes \"%.*s\" after event %llu",
+                     BK_STR_ARG(fields.resumed_id),
                      (unsigned long long)fields.last_event);
     }
     BkBuf_Printf(out, "\n");
@@ -111,6 +112,9 @@
                  report.service, report.address, report.domain, report.slots,
                  (unsigned long long)report.started_at,
                  report.draining ? " draining" : "");
+    if (report.software != NULL) {
+        BkBuf_Printf(out, " software %s", report.software);
+    }
     for (int i = 0; i < report.model_count; i++) {
         BkBuf_Printf(out, " %s", report.models[i].name);
         for (int k = 0; k < report.models[i].adapter_count; k++) {
