--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -213,8 +213,10 @@
     socket, and returns False to have it closed."""
 
     def __init__(self, store, name, service="app", slots=4, models=None,
-                 handler=lambda req, sock: sock.sendall(sealed(req))):
+                 handler=lambda req, sock: sock.sendall(sealed(req)),
+                 software=None):
         self.store, self.id, self.service = store, name, service
+        self.software = software  # version of its software; None: not told
         self.slots, self.models = slots, models
         self.handlers = [handler]
         self.runs, self.orders, self.closed = [], [], []
@@ -233,6 +235,8 @@
     def register(self, **changes):
         row = {"service": self.service, "address": self.addr, "zone": "a",
                "slots": self.slots, "state": "ready", "sequence": 1}
+        if self.software is not None:
+            row["version"] = self.software
         if self.models is not None:
             row["models"] = [{"name": name, "version": 1,
                               "adapters": sorted(adapters)}
