origin: a stream goes on only at the software version that began it

Cause: the version in an upstream's report was not read, so that any upstream with the model could go on with a stream; and a VM that takes a stream up for another one could not have known the version either. Class of fault: the unit of compatibility of an upstream was its weights alone.

Now the request is bound to the version with its first event, pick leaves other versions out, and the version of each stream that may be resumed is told to two other daemons while a service has, or may have, several; a daemon at which a stream is taken up asks four. Nobody else is told. What nobody knows is refused as not run, unless a single version has served for 30 s.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -22,6 +22,7 @@
 
 #include "bk/base/clock.h"
 #include "bk/fleet/report.h"
+#include "bk/origin/origin.h"
 #include "bk/throttle/throttle.h"
 
 enum {
@@ -30,7 +31,9 @@
     BK_UP_MAX_CACHED = 32,
     /* the store removes the row of an upstream after three intervals of
        silence, of a bit more than a second each */
-    BK_FLEET_WITHHOLD_MS = 5000
+    BK_FLEET_WITHHOLD_MS = 5000,
+    /* from marking an upstream gone to freeing it */
+    BK_FLEET_FORGET_MS = 30000
 };
 
 typedef enum BkUpState {
@@ -138,6 +141,7 @@
     /* incremented when anything that routing uses changes */
     uint64_t generation;
     bool list_complete; /* a complete list was read at least once */
+    BkMs watched_since; /* when the first one was */
     /* end of the grace period of a store outage */
     BkMs store_outage_grace_until;
 } BkFleet;
@@ -189,6 +193,11 @@
 BkUp *BkFleet_Find(const BkFleet *fleet, BkStr id);
 BkUp *BkFleet_FindByKey(const BkFleet *fleet, uint32_t key);
 
+/* The software versions of the upstreams that serve the service now or did in
+ * the last memory ms, which is at most BK_FLEET_FORGET_MS. */
+BkOriginView BkFleet_ViewSoftware(const BkFleet *fleet, uint32_t service,
+                                  BkMs memory, BkMs now);
+
 /* Whether new requests may be sent there. */
 bool BkUp_IsOpen(const BkUp *up);
 
--- a/include/bk/front/conf.h
+++ b/include/bk/front/conf.h
@@ -33,7 +33,8 @@
     double retry_ratio; /* retries for each request */
     double retry_slack; /* further retries in a window */
     BkMs retry_window;
-    BkMs stop_grace; /* from SIGTERM to SIGKILL */
+    bool first_start; /* no stream began before this process started */
+    BkMs stop_grace;  /* from SIGTERM to SIGKILL */
     /* most events logged a second, of severity info or less severe; further
        ones are dropped */
     int64_t log_lines;
@@ -47,6 +48,9 @@
     /* plain service: an upstream with this many requests for each of its
        slots is full */
     double max_load_ratio;
+    /* how long this daemon remembers at which software version a stream
+       began; longer than a stream may last */
+    BkMs stream_memory;
 } FrConf;
 
 /* Reads the settings in the file at path into out, which is to be destroyed
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -25,6 +25,7 @@
 #define BKP_MAX_ROWS 8
 #define BKP_MAX_ROW_BYTES 1400
 #define BKP_MAX_FORWARD 12
+#define BKP_MAX_ORIGINS 64
 
 struct bkp_load {
 	u_int up;
@@ -237,6 +238,46 @@
 };
 typedef struct bkp_load_update bkp_load_update;
 
+struct bkp_origin {
+	u_quad_t stream;
+	u_int software;
+	u_int service;
+};
+typedef struct bkp_origin bkp_origin;
+
+struct bkp_origins {
+	struct {
+		u_int rows_len;
+		bkp_origin *rows_val;
+	} rows;
+};
+typedef struct bkp_origins bkp_origins;
+
+struct bkp_origin_ask {
+	char *name;
+	u_int number;
+	u_int place;
+	u_quad_t stream;
+	u_int service;
+};
+typedef struct bkp_origin_ask bkp_origin_ask;
+
+enum bkp_origin_kind {
+	BKP_ORIGIN_KNOWN = 0,
+	BKP_ORIGIN_UNKNOWN = 1,
+};
+typedef enum bkp_origin_kind bkp_origin_kind;
+
+struct bkp_origin_answer {
+	u_int number;
+	u_int place;
+	bkp_origin_kind kind;
+	u_int versions;
+	u_int software;
+	int complete;
+};
+typedef struct bkp_origin_answer bkp_origin_answer;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 2
 
@@ -268,6 +309,15 @@
 #define BKP_GRANT 11
 extern  void * bkp_grant_2(bkp_grant *, CLIENT *);
 extern  void * bkp_grant_2_svc(bkp_grant *, struct svc_req *);
+#define BKP_ORIGINS 12
+extern  void * bkp_origins_2(bkp_origins *, CLIENT *);
+extern  void * bkp_origins_2_svc(bkp_origins *, struct svc_req *);
+#define BKP_ORIGIN_ASK 13
+extern  void * bkp_origin_ask_2(bkp_origin_ask *, CLIENT *);
+extern  void * bkp_origin_ask_2_svc(bkp_origin_ask *, struct svc_req *);
+#define BKP_ORIGIN_ANSWER 14
+extern  void * bkp_origin_answer_2(bkp_origin_answer *, CLIENT *);
+extern  void * bkp_origin_answer_2_svc(bkp_origin_answer *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -298,6 +348,15 @@
 #define BKP_GRANT 11
 extern  void * bkp_grant_2();
 extern  void * bkp_grant_2_svc();
+#define BKP_ORIGINS 12
+extern  void * bkp_origins_2();
+extern  void * bkp_origins_2_svc();
+#define BKP_ORIGIN_ASK 13
+extern  void * bkp_origin_ask_2();
+extern  void * bkp_origin_ask_2_svc();
+#define BKP_ORIGIN_ANSWER 14
+extern  void * bkp_origin_answer_2();
+extern  void * bkp_origin_answer_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -326,6 +385,11 @@
 extern  bool_t xdr_bkp_ask (XDR *, bkp_ask*);
 extern  bool_t xdr_bkp_grant (XDR *, bkp_grant*);
 extern  bool_t xdr_bkp_load_update (XDR *, bkp_load_update*);
+extern  bool_t xdr_bkp_origin (XDR *, bkp_origin*);
+extern  bool_t xdr_bkp_origins (XDR *, bkp_origins*);
+extern  bool_t xdr_bkp_origin_ask (XDR *, bkp_origin_ask*);
+extern  bool_t xdr_bkp_origin_kind (XDR *, bkp_origin_kind*);
+extern  bool_t xdr_bkp_origin_answer (XDR *, bkp_origin_answer*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -350,6 +414,11 @@
 extern bool_t xdr_bkp_ask ();
 extern bool_t xdr_bkp_grant ();
 extern bool_t xdr_bkp_load_update ();
+extern bool_t xdr_bkp_origin ();
+extern bool_t xdr_bkp_origins ();
+extern bool_t xdr_bkp_origin_ask ();
+extern bool_t xdr_bkp_origin_kind ();
+extern bool_t xdr_bkp_origin_answer ();
 
 #endif /* K&R C */
 
--- a/include/bk/pick/pick.h
+++ b/include/bk/pick/pick.h
@@ -41,9 +41,11 @@
     /* what the engines of the service have in common; only whether it is NULL
        matters here. NULL: a plain service, whose upstreams run no models */
     const BkSiteEngine *engine;
-    uint32_t service;      /* key of its name, see BkStr_NameHash */
-    uint32_t model;        /* key of its name; 0: any */
-    uint32_t adapter;      /* key of its name; 0: none */
+    uint32_t service; /* key of its name, see BkStr_NameHash */
+    uint32_t model;   /* key of its name; 0: any */
+    uint32_t adapter; /* key of its name; 0: none */
+    /* key of the only software version that may serve it; 0: any */
+    uint32_t software;
     int64_t prompt_tokens; /* length in tokens */
     /* hash of all parts of the prompt but the last; 0: no affinity */
     uint64_t prefix_hash;
@@ -55,8 +57,10 @@
 typedef enum BkPickResult {
     BK_PICK_SEND,
     BK_PICK_LOAD_ADAPTER, /* the chosen engine must load the adapter first */
-    BK_PICK_FULL,       /* every untried upstream that can serve it is full */
-    BK_PICK_ALL_TRIED,  /* every upstream that can serve it was tried */
+    BK_PICK_FULL,      /* every untried upstream that can serve it is full */
+    BK_PICK_ALL_TRIED, /* every upstream that can serve it was tried */
+    /* only upstreams of other software versions could serve it */
+    BK_PICK_OTHER_VERSION,
     BK_PICK_NO_MODEL,   /* no usable upstream of the service has the model */
     BK_PICK_NO_UPSTREAM /* no upstream of the service is usable */
 } BkPickResult;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -15,8 +15,7 @@
     /* for a single report that the store says was removed, around an outage:
        this may mean that the upstream left, and requests must stop
        within two seconds of that */
-    SINGLE_REMOVAL_GRACE_MS = 1200,
-    FORGET_AFTER_MS = 30000 /* from marking an upstream gone to freeing it */
+    SINGLE_REMOVAL_GRACE_MS = 1200
 };
 
 void
@@ -313,6 +312,8 @@
 is_same_process(const BkUp *up, const BkUpReport *report)
 {
     return (up->started_at == report->started_at || report->started_at == 0) &&
+           (report->software == NULL ||
+            strcmp(up->software, report->software) == 0) &&
            strcmp(up->address, report->address) == 0 &&
            strcmp(up->service, report->service) == 0;
 }
@@ -446,7 +447,10 @@
             note_lost_report(fleet, up, OUTAGE_GRACE_MS, now);
         }
     }
-    fleet->list_complete = true;
+    if (!fleet->list_complete) {
+        fleet->list_complete = true;
+        fleet->watched_since = now;
+    }
 }
 
 void
@@ -511,7 +515,7 @@
             set_state(fleet, up, BK_UP_GONE, now,
                       "no new report after the outage of the store");
         }
-        else if (up->state == BK_UP_GONE && elapsed >= FORGET_AFTER_MS &&
+        else if (up->state == BK_UP_GONE && elapsed >= BK_FLEET_FORGET_MS &&
                  up->refs == 1) {
             remove_at(fleet, i);
         }
--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -1,3 +1,4 @@
+#include "origins.h"
 #include "planner.h"
 #include "request.h"
 
@@ -177,5 +178,9 @@
         return;
     }
     FrRequest_ArmTimer(request, now);
+    if (request->kind == BK_ROUTE_STREAM && fields.resumes) {
+        FrOrigins_Resolve(front->origins, request, now);
+        return;
+    }
     FrRequest_Dispatch(request);
 }
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -305,6 +305,12 @@
             request, choice.open_at > now ? BK_WAIT_PAUSE : BK_WAIT_FULL, now);
     case BK_PICK_NO_MODEL:
         return wait_or_refuse(request, BK_WAIT_MODEL, now);
+    case BK_PICK_OTHER_VERSION:
+        /* models are not loaded for the sake of a version */
+        FrRequest_GiveUp(request,
+                         "no upstream of the stream's version can serve it",
+                         DEFAULT_RETRY_AFTER);
+        return true;
     case BK_PICK_ALL_TRIED:
         if (request->run_count > 0 && may_run_again(request) &&
             request->send_count < BK_PICK_MAX_TRIED) {
--- a/src/front/conf.c
+++ b/src/front/conf.c
@@ -1,6 +1,7 @@
 #include "bk/front/conf.h"
 
 #include "bk/base/log.h"
+#include "bk/fleet/fleet.h"
 
 #define SPEC(...) BK_SETTING(FrConf, __VA_ARGS__)
 
@@ -15,6 +16,8 @@
          "lines a second of severity info and below"),
     SPEC("daemon", "descriptors", BK_SETTING_INT, max_descriptors, "1024", 64,
          1000000, "file descriptors that the process may have"),
+    SPEC("daemon", "first_start", BK_SETTING_BOOL, first_start, "no", 0, 0,
+         "whether the whole system starts for the first time"),
     SPEC("daemon", "grace", BK_SETTING_MS, stop_grace, "8s", 100, 600000,
          "from SIGTERM until the platform kills the process"),
     SPEC("listen", "callers", BK_SETTING_ADDR, callers_address, NULL, 0, 0,
@@ -56,6 +59,9 @@
          1000000, "tokens of work more that a kept part of a prompt is worth"),
     SPEC("routing", "far", BK_SETTING_INT, cross_domain_cost, "250", 0,
          1000000, "tokens that another failure domain costs"),
+    SPEC("routing", "stream_memory", BK_SETTING_MS, stream_memory, "30s", 100,
+         BK_FLEET_FORGET_MS,
+         "how long the software versions of streams are remembered"),
     SPEC("routing", "full", BK_SETTING_REAL, max_load_ratio, "2.0", 100,
          100000, "requests per slot of a plain service before others wait"),
 };
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -1,4 +1,5 @@
 #include "admission.h"
+#include "origins.h"
 #include "planner.h"
 
 #include <stdlib.h>
@@ -220,6 +221,7 @@
         return NULL;
     }
     front->admission = FrAdmission_Create(front);
+    front->origins = FrOrigins_Create(front);
     front->planner = FrPlanner_Create(front);
     front->sync = FrSync_Create(front);
     BkTimer_Start(front->sweep_timer, SWEEP_PERIOD);
@@ -257,6 +259,7 @@
     FrPlanner_Destroy(front->planner);
     FrPeers_Destroy(front->peers);
     FrAdmission_Destroy(front->admission);
+    FrOrigins_Destroy(front->origins);
     BkFleet_Destroy(&front->fleet);
     BkHttpServer_Destroy(front->ops_server);
     BkHttpClient_Destroy(front->http);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -33,6 +33,7 @@
 typedef struct FrRequest FrRequest;
 typedef struct FrUpConn FrUpConn;
 typedef struct FrAdmission FrAdmission;
+typedef struct FrOrigins FrOrigins;
 typedef struct FrPeer FrPeer;
 typedef struct FrPeers FrPeers;
 typedef struct FrPlanner FrPlanner;
@@ -101,6 +102,7 @@
     FrSync *sync;
     FrPeers *peers;
     FrAdmission *admission;
+    FrOrigins *origins;
     FrPlanner *planner;
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
@@ -317,6 +319,9 @@
     FrRequest *ask_prev; /* list of the requests that await an answer */
     FrRequest *ask_next;
 
+    /* the question which version began its stream; NULL: none is open */
+    struct FrOriginAsk *origin_ask;
+
     FrUpConn *conn;                       /* of the current attempt, like up */
     BkUp *up;                             /* its load includes this request */
     char last_up_id[FR_REQUEST_ID_BYTES]; /* id of the last upstream */
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -8,6 +8,7 @@
 #include "bk/net/datagram.h"
 #include "bk/spread/spread.h"
 #include "admission.h"
+#include "origins.h"
 #include "planner.h"
 #include "sync.h"
 
@@ -374,6 +375,30 @@
     FrAdmission_HandleLoad(peers->front->admission, message, BkClock_Now());
 }
 
+static void
+handle_origins(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrOrigins_HandleTold(peers->front->origins, message, BkClock_Now());
+}
+
+static void
+handle_origin_ask(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrOrigins_HandleAsk(peers->front->origins, message, BkClock_Now());
+}
+
+static void
+handle_origin_answer(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrOrigins_HandleAnswer(peers->front->origins, message, BkClock_Now());
+}
+
 static void
 handle_reports(const void *message, const char *from, void *arg)
 {
@@ -436,6 +461,12 @@
      handle_grant},
     {BKP_GOSSIP, "news", (xdrproc_t)xdr_bkp_gossip, sizeof(bkp_gossip),
      handle_gossip},
+    {BKP_ORIGIN_ANSWER, "origin answer", (xdrproc_t)xdr_bkp_origin_answer,
+     sizeof(bkp_origin_answer), handle_origin_answer},
+    {BKP_ORIGIN_ASK, "origin ask", (xdrproc_t)xdr_bkp_origin_ask,
+     sizeof(bkp_origin_ask), handle_origin_ask},
+    {BKP_ORIGINS, "origins", (xdrproc_t)xdr_bkp_origins, sizeof(bkp_origins),
+     handle_origins},
     {BKP_PLANNER_BEAT, "beat", (xdrproc_t)xdr_bkp_planner_beat,
      sizeof(bkp_planner_beat), handle_planner_beat},
     {BKP_REPORTS, "reports", (xdrproc_t)xdr_bkp_reports, sizeof(bkp_reports),
@@ -470,6 +501,7 @@
     }
     FrGossip_RunRound(peers, now);
     FrAdmission_ResendLoads(peers->front->admission, now);
+    FrOrigins_Step(peers->front->origins, now);
     FrLoads_Expire(peers, now);
     forget_silent_planner(peers, now);
     FrMembers_Step(peers, now);
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -1,4 +1,5 @@
 #include "admission.h"
+#include "origins.h"
 #include "planner.h"
 #include "request.h"
 
@@ -101,6 +102,7 @@
         return;
     }
     FrQueue_Remove(request);
+    FrOrigins_Cancel(front->origins, request);
     request->stage = FR_ENDED;
     FrRequest_AbortAttempt(request);
     BkTimer_Stop(request->timer);
--- a/src/front/stream.c
+++ b/src/front/stream.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "front.h"
+#include "origins.h"
 
 /* Returns the length of the first event in data, with the empty line that ends
    it; 0 if the event is not complete. */
@@ -69,6 +69,10 @@
         return;
     }
     if (request->stage == FR_SENT) {
+        if (request->resumable) {
+            FrOrigins_NoteBegin(request->front->origins, request,
+                                BkClock_Now());
+        }
         request->stage = FR_RESPONDING;
         request->response_begun = true;
         request->response_begun_at = BkClock_Now();
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -368,3 +368,76 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_origin (XDR *xdrs, bkp_origin *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_origins (XDR *xdrs, bkp_origins *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_ORIGINS,
+		sizeof (bkp_origin), (xdrproc_t) xdr_bkp_origin))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_origin_ask (XDR *xdrs, bkp_origin_ask *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, BKP_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->place))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->stream))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_origin_kind (XDR *xdrs, bkp_origin_kind *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_origin_answer (XDR *xdrs, bkp_origin_answer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->number))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->place))
+		 return FALSE;
+	 if (!xdr_bkp_origin_kind (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->versions))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->software))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->complete))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -17,6 +17,7 @@
 const BKP_MAX_ROWS = 8;
 const BKP_MAX_ROW_BYTES = 1400;   /* bytes of a row's value */
 const BKP_MAX_FORWARD = 12;
+const BKP_MAX_ORIGINS = 64;
 
 /* load that the sender causes at an upstream */
 struct bkp_load {
@@ -227,6 +228,45 @@
     bkp_load load;
 };
 
+/* a stream, and the hash of the software version that began it */
+struct bkp_origin {
+    unsigned hyper stream;        /* hash of the id of the request that brought
+                                     its first event */
+    unsigned int software;
+    unsigned int service;
+};
+
+/* streams that began at the sender; it tells two other daemons of each */
+struct bkp_origins {
+    bkp_origin rows<BKP_MAX_ORIGINS>;
+};
+
+/* asks which version began a stream */
+struct bkp_origin_ask {
+    string name<BKP_MAX_NAME>;    /* name of the sender */
+    unsigned int number;          /* repeated in the answer */
+    unsigned int place;           /* of the receiver among those that are
+                                     asked; repeated in the answer */
+    unsigned hyper stream;        /* 0: its caller does not name it */
+    unsigned int service;
+};
+
+enum bkp_origin_kind {
+    BKP_ORIGIN_KNOWN = 0,         /* the version that began it */
+    BKP_ORIGIN_UNKNOWN = 1        /* not known; what is told of the service is
+                                     the sender's view (bk/origin/origin.h) */
+};
+
+struct bkp_origin_answer {
+    unsigned int number;
+    unsigned int place;
+    bkp_origin_kind kind;
+    unsigned int versions;        /* 0, 1, or 2 for several */
+    unsigned int software;
+    int complete;                 /* it saw all that served in the last memory
+                                     of streams */
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_GOSSIP(bkp_gossip) = 1;
@@ -239,5 +279,8 @@
         void BKP_PLANNER_BEAT(bkp_planner_beat) = 9;
         void BKP_ASK(bkp_ask) = 10;
         void BKP_GRANT(bkp_grant) = 11;
+        void BKP_ORIGINS(bkp_origins) = 12;
+        void BKP_ORIGIN_ASK(bkp_origin_ask) = 13;
+        void BKP_ORIGIN_ANSWER(bkp_origin_answer) = 14;
     } = 2;
 } = 0x20426b02;
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -26,6 +26,10 @@
     bool open;       /* the service has an upstream that takes requests */
     bool with_model; /* at least one of them holds the model */
     bool untried;    /* at least one of those was not tried yet */
+    /* of the software versions that are left out: one takes requests, and one
+       of these holds the model */
+    bool other_open;
+    bool other_with_model;
 } Matches;
 
 int64_t
@@ -118,8 +122,14 @@
     if (up->service_key != query->service || !BkUp_IsOpen(up)) {
         return false;
     }
+    bool with_model = query->model == 0 || BkUp_HasModel(up, query->model);
+    if (query->software != 0 && up->software_key != query->software) {
+        matches->other_open = true;
+        matches->other_with_model = matches->other_with_model || with_model;
+        return false;
+    }
     matches->open = true;
-    if (query->model != 0 && !BkUp_HasModel(up, query->model)) {
+    if (!with_model) {
         return false;
     }
     matches->with_model = true;
@@ -130,6 +140,21 @@
     return true;
 }
 
+/* Why there is no upstream to choose. */
+static BkPickResult
+find_reason(const Matches *matches)
+{
+    if (!matches->open) {
+        return matches->other_open ? BK_PICK_OTHER_VERSION
+                                   : BK_PICK_NO_UPSTREAM;
+    }
+    if (!matches->with_model) {
+        return matches->other_with_model ? BK_PICK_OTHER_VERSION
+                                         : BK_PICK_NO_MODEL;
+    }
+    return matches->untried ? BK_PICK_FULL : BK_PICK_ALL_TRIED;
+}
+
 static AdapterState
 adapter_state(const BkPickQuery *query, const BkUp *up, BkMs now)
 {
@@ -198,10 +223,7 @@
         }
     }
     if (best.up == NULL) {
-        BkPickResult reason = !matches.open         ? BK_PICK_NO_UPSTREAM
-                              : !matches.with_model ? BK_PICK_NO_MODEL
-                              : !matches.untried    ? BK_PICK_ALL_TRIED
-                                                    : BK_PICK_FULL;
+        BkPickResult reason = find_reason(&matches);
         return (BkPickChoice){
             .result = reason,
             .open_at = reason == BK_PICK_FULL && all_held ? open_at : 0};
--- a/tests/proof/case_front_versions.py
+++ b/tests/proof/case_front_versions.py
@@ -190,3 +190,24 @@
             check(code == 503, "%s", code)
             check(time.monotonic() - began < AT_ONCE_S, "refused late")
     check(not other.runs, "it ran at another version")
+
+
+@case
+def versions_unknown_stream(world):
+    """Nobody knows which version began a stream: it is refused while several
+    versions serve. If a single one has served for long, that one began it."""
+    store, streams, upstreams, (front,) = start(world, ("v1", "v2"),
+                                                stream_memory="500ms")
+    time.sleep(0.7)
+    for fields in ({}, {"Resumes": ""}, {"Resumes": "a b"}):
+        code = take_up(front, "unheard", **fields)[0]
+        check(code == 503, "%s: %s", fields, code)
+    check(not streams.versions, "it ran")
+    upstreams[1].register(state="draining")
+    store.put("servers", upstreams[1].id, None)
+    wait("it is gone", lambda: any(
+        x["id"] == upstreams[1].id and x["is"] == "gone"
+        for x in front.events("upstream")))
+    time.sleep(0.7)
+    answer = take_up(front, "unheard")
+    check(answer == (200, stream_bytes(FIRST + 1, LAST), True), "%s", answer)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -186,11 +186,60 @@
 }
 END_TEST
 
+static void
+check_view(const BkFleet *fleet, BkMs now, int versions, bool complete)
+{
+    const BkMs memory = 1000;
+    BkOriginView view = BkFleet_ViewSoftware(
+        fleet, BkStr_NameHash(BK_STR("llm")), memory, now);
+
+    ck_assert_int_eq(view.versions, versions);
+    ck_assert_int_eq(view.complete, complete);
+}
+
+/* A version counts until all its upstreams have been gone for a while; what
+   served before the first list is not known for as long. */
+START_TEST(test_software_versions)
+{
+    BkFleet fleet = {0};
+    char v1[] = "v1";
+    char v2[] = "v2";
+    BkUpReport report = {.id = "e1",
+                         .address = "10.0.0.1:80",
+                         .service = "llm",
+                         .domain = "d1",
+                         .software = v1};
+    const BkUp *first = BkFleet_ApplyReport(&fleet, &report, 1, 0);
+
+    check_view(&fleet, 5000, 1, false);
+    BkFleet_EndList(&fleet, 1, 5000);
+    check_view(&fleet, 5999, 1, false);
+    check_view(&fleet, 6000, 1, true);
+    report.service = "other";
+    report.id = "e2";
+    report.software = v2;
+    BkFleet_ApplyReport(&fleet, &report, 2, 6000);
+    check_view(&fleet, 6000, 1, true);
+    report.service = "llm";
+    report.id = "e3";
+    BkFleet_ApplyReport(&fleet, &report, 3, 6000);
+    check_view(&fleet, 6000, 2, true);
+    BkFleet_ApplyRemoval(&fleet, BK_STR("e3"), 4, 7000);
+    check_view(&fleet, 7999, 2, true);
+    check_view(&fleet, 8000, 1, true);
+    /* the same id with another version is another process */
+    report.id = "e1";
+    ck_assert_ptr_ne(BkFleet_ApplyReport(&fleet, &report, 5, 9000), first);
+    check_view(&fleet, 9000, 2, true);
+    BkFleet_Destroy(&fleet);
+}
+END_TEST
+
 int
 main(void)
 {
     const TTest *const tests[] = {test_script, test_polled_state,
-                                  test_replaced};
+                                  test_replaced, test_software_versions};
 
-    return BkUnit_Main("fleet", tests, 3);
+    return BkUnit_Main("fleet", tests, 4);
 }
--- a/tests/unit/test_pick.c
+++ b/tests/unit/test_pick.c
@@ -10,6 +10,7 @@
     BkSiteEngine engine;
     BkPickConf conf;
     uint64_t version;
+    uint32_t software; /* of all picks; 0: any */
 } Fixture;
 
 static uint32_t
@@ -58,8 +59,9 @@
 pick(Fixture *fixture, char **words, int count, BkBuf *out)
 {
     static const char *const results[] = {
-        "send to",   "adapter needed at",       "full",
-        "all tried", "no engine has the model", "no usable upstream"};
+        "send to",           "adapter needed at",    "full",
+        "all tried",         "only another version", "no engine has the model",
+        "no usable upstream"};
     BkPickQuery query = {
         .engine = strcmp(words[2], "-") == 0 ? NULL : &fixture->engine,
         .service = key_of(words[1]),
@@ -67,6 +69,7 @@
         .adapter = key_of(words[3]),
         .prompt_tokens = atoll(words[4]),
         .prefix_hash = strtoull(words[5], NULL, 10),
+        .software = fixture->software,
         .domain = "here"};
 
     for (int i = 6; i < count; i++) {
@@ -89,7 +92,9 @@
 /* avoid|busy|free|throttled|leaving|missing ID: puts the upstream into this
    state at the time of the picks: to be avoided after a failure, executing an
    order, or no longer, out of its rate limit, leaving, or with its report
-   missing; hold ID MS: it asked for a pause; new: removes all upstreams */
+   missing; hold ID MS: it asked for a pause; runs ID VERSION: its software;
+   only VERSION: the picks are for that version, "-" any; new: removes all
+   upstreams */
 static void
 run_pick(char **words, int count, BkBuf *out, void *arg)
 {
@@ -126,6 +131,12 @@
         BkFleet_ApplyRemoval(&fixture->fleet, BkStr_FromC(words[1]),
                              ++fixture->version, 1000);
     }
+    else if (strcmp(words[0], "runs") == 0) {
+        up->software_key = key_of(words[2]);
+    }
+    else if (strcmp(words[0], "only") == 0) {
+        fixture->software = key_of(words[1]);
+    }
     else if (strcmp(words[0], "new") == 0) {
         BkFleet_Destroy(&fixture->fleet);
     }
