--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -63,17 +63,22 @@
         """Writes a new configuration, which keeps the routes that callers
         use."""
         self.version += 1 + self.version % 3
-        configure(self.store, self.version, [
-            route("once", "unsafe"), route("safe", "safe"),
-            route("flow", "streaming", maxAttempts=1),
-            route("again", "streaming", resumable=True),
-            route("llm", "streaming", service="llm", targetLatencyMs=500),
-            route("extra%d" % self.version, "safe")], ("app", "llm"), ENGINE)
-
-    def replica(self, name, service="app", models=None, handler=handle):
+        configure(self.store, self.version, self.routes(), ("app", "llm"),
+                  ENGINE)
+
+    def routes(self):
+        return [route("once", "unsafe"), route("safe", "safe"),
+                route("flow", "streaming", maxAttempts=1),
+                route("again", "streaming", resumable=True),
+                route("llm", "streaming", service="llm", targetLatencyMs=500),
+                route("extra%d" % self.version, "safe")]
+
+    def replica(self, name, service="app", models=None, handler=handle,
+                software=None):
         # requests may come as soon as it has registered
         upstream = Replica(self.store, name, service, slots=8, models=models,
-                           handler=handler)
+                           handler=handler, software=software)
+        upstream.usual = handler
         upstream.proxy = Proxy(upstream.addr)
         upstream.real, upstream.addr = upstream.addr, upstream.proxy.addr
         if models is not None:
@@ -197,7 +202,7 @@
                 upstream.runs.remove(req)
             sock.sendall(not_run(req))
         upstream.handlers = [self.rng.choice((bad_answer, hang, refuse))
-                             for _ in range(3)] + [handle]
+                             for _ in range(3)] + [upstream.usual]
 
     def replace_upstream(self):
         """An upstream drains and is replaced by a new one."""
@@ -237,6 +242,10 @@
             self.rng.choice(kinds)()
             time.sleep(self.rng.random() * 0.4)
 
+    def callers(self):
+        """Functions that ask until the soak is stopped."""
+        return [lambda n=n: self.call(n) for n in range(CALLERS)]
+
     def replicas(self):
         return self.apps + self.engines + self.removed
 
@@ -328,14 +337,12 @@
 
 
 def run_soak(soak):
-    callers = [lambda n=n: soak.call(n) for n in range(CALLERS)]
-
     def run_faults():
         try:
             soak.run_faults()
         finally:
             soak.stopped.set()
-    together(run_faults, *callers)
+    together(run_faults, *soak.callers())
     soak.store.error_status, soak.store.silent = None, False
     for proxy in soak.store_proxies + [x.proxy for x in soak.replicas()
                                        if x not in soak.removed]:
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -7,11 +7,13 @@
 """
 import base64
 import contextlib
+import ctypes
 import http.server
 import json
 import os
 import re
 import socket
+import sys
 import threading
 import time
 import urllib.parse
@@ -19,6 +21,7 @@
 from basics import request, wait
 from harness import Program, next_port
 
+LIBC = ctypes.CDLL(None)
 TEMPLATE = os.path.join(os.path.dirname(__file__),
                         "../../platform/bk-front.ini.in")
 BOUNDS = {"graceS": 3, "leaseMs": 1500, "thawSlackMs": 100,
@@ -26,6 +29,14 @@
           "budgetSlack": 1000, "budgetWindowS": 0.1, "fencingRequired": True}
 
 
+class CallServer(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
 class Store:
     """The table service: rows with versions, transactions, feeds. Its fields
     set faults."""
@@ -72,9 +83,7 @@
             def log_message(self, *args):
                 pass
 
-        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0),
-                                                      Handler)
-        self.server.daemon_threads = True
+        self.server = CallServer(("127.0.0.1", 0), Handler)
         self.addr = "127.0.0.1:%d" % self.server.server_address[1]
         threading.Thread(target=self.server.serve_forever,
                          daemon=True).start()
@@ -417,8 +426,16 @@
             "provider": {"address": "127.0.0.1:3"}, **keys}
 
 
+def abort(sock):
+    """Resets a connection, also while another thread reads from it."""
+    unspecified = (socket.AF_UNSPEC).to_bytes(2, "little") + bytes(14)
+    with contextlib.suppress(OSError):
+        LIBC.connect(sock.fileno(), unspecified, len(unspecified))
+
+
 class Proxy:
-    """A TCP relay; its fields and methods set faults."""
+    """A TCP relay; its fields and methods set faults. What is lost on the way
+    is never followed by an orderly end."""
 
     def __init__(self, target):
         self.target, self.pairs, self.lock = target, [], threading.Lock()
@@ -448,17 +465,23 @@
                                  args=(pair, direction, source, sink)).start()
 
     def pump(self, pair, direction, source, sink):
-        with contextlib.suppress(OSError):
+        lost = False
+        try:
             while data := source.recv(65536):
                 if self.delay:
                     time.sleep(self.delay)
-                if pair["silent"] or direction in self.muted:
+                lost = lost or pair["silent"] or direction in self.muted
+                if lost:
                     continue
                 sink.sendall(data)
                 if direction == "down":
                     with self.lock:
                         self.received += len(data)
-        if not pair["silent"]:
+        except OSError:
+            for side in (source, sink):
+                abort(side)
+            return
+        if not pair["silent"] and not lost:
             for side in (source, sink):
                 with contextlib.suppress(OSError):
                     side.shutdown(socket.SHUT_RDWR)
@@ -474,9 +497,8 @@
     def reset(self):
         with self.lock:
             for pair in self.pairs:
-                for side in (pair["near"], pair["far"]):
-                    with contextlib.suppress(OSError):
-                        side.shutdown(socket.SHUT_RDWR)
+                abort(pair["near"])
+                abort(pair["far"])
             self.pairs = []
 
     def heal(self):
