front, net: limits for bytes without end that are no answer

An upstream in trouble may send bytes without end until its other side closes.

Now 256 kB may come before an answer, an event may have 64 kB, as in bk-entry, and a head with its trailers 64 kB in calls through libcurl.

--- a/include/bk/net/http_client.h
+++ b/include/bk/net/http_client.h
@@ -24,7 +24,8 @@
     /* BK_OK: a complete response was received, with any HTTP status.
        BK_ECONNECT: nothing was sent. BK_ETIMEOUT, BK_ETRUNCATED, BK_EUNKNOWN:
        bytes were sent and no complete response was received; BK_ETRUNCATED
-       if its head was, BK_EUNKNOWN if not. */
+       if its head was, BK_EUNKNOWN if not. BK_ETOOBIG: the head, or the body
+       of BkHttpClient_Fetch, exceeds its limit. */
     BkStatus status;
     int http_status; /* HTTP status; 0 if no response head was received */
     bool may_have_been_sent; /* a part of the request may have been sent */
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -5,7 +5,8 @@
 enum {
     /* bytes of a body that are held back before the response to the caller
        begins; up to there, another attempt can replace a broken response */
-    MAX_HELD_BACK = 64 * 1024
+    MAX_HELD_BACK = 64 * 1024,
+    MAX_EVENT = 64 * 1024 /* bytes of an event of a stream */
 };
 
 /* Copies the header fields to forward to the caller. */
@@ -205,6 +206,11 @@
     BkBuf_Append(&request->pending_body, data);
     if (is_event_stream(request)) {
         FrStream_ForwardEvents(request);
+        if (request->pending_body.len > MAX_EVENT) {
+            FrRequest_FailAttempt(request, true, true,
+                                  "an event of the stream has no end");
+            return;
+        }
     }
     else if (request->pending_body.len > MAX_HELD_BACK ||
              request->stage == FR_RESPONDING) {
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -10,6 +10,9 @@
 enum {
     READ_BYTES = 16 * 1024,
     MAX_HEAD = 32 * 1024, /* bytes of a response's head */
+    /* bytes that may come before the response to the request: interim
+       responses, and a response to an earlier request */
+    MAX_BYTES_BEFORE_RESPONSE = 256 * 1024,
     /* ms; several times the longest round trip, and short enough to leave
        time for another attempt */
     CONNECT_TIMEOUT = 350,
@@ -39,8 +42,10 @@
     ConnState state;
     BkH1Parser *parser;
     BkBuf out;
-    bool bytes_sent;     /* a byte of the request was sent */
-    bool head_read;      /* the head of the current response was read */
+    bool bytes_sent; /* a byte of the request was sent */
+    bool head_read;  /* the head of the current response was read */
+    /* since the request was sent, before its response */
+    size_t bytes_before_response;
     bool pass_body;      /* pass the body of this response to the request */
     bool bodiless;       /* HEAD request */
     bool first_exchange; /* no exchange has been completed yet */
@@ -273,9 +278,17 @@
     return false;
 }
 
+/* Parses what was received, up to the end of the response. */
 static void
 parse_input(FrUpConn *conn, BkStr data)
 {
+    if (!conn->pass_body) {
+        conn->bytes_before_response += data.len;
+    }
+    if (conn->bytes_before_response > MAX_BYTES_BEFORE_RESPONSE) {
+        fail_exchange(conn, FR_EXCHANGE_MALFORMED);
+        return;
+    }
     while (data.len > 0 && conn->state == CONN_BUSY) {
         size_t n = BkH1Parser_Feed(conn->parser, data);
         data.ptr += n;
@@ -513,7 +526,9 @@
     }
     conn->request = request;
     conn->bytes_sent = false;
+    conn->bytes_before_response = 0;
     conn->head_read = false;
+    conn->pass_body = false;
     conn->bodiless = bodiless;
     conn->parser =
         BkH1Parser_Create(BK_H1_RESPONSE, MAX_HEAD, on_body_data, conn);
--- a/src/net/client.h
+++ b/src/net/client.h
@@ -38,9 +38,11 @@
     /* the response says where it ends; otherwise it cannot be known whether it
        is complete or was cut */
     bool length_known;
-    bool no_body;   /* a HEAD request */
-    bool too_large; /* the body exceeds the limit of fetched */
-    bool head_done; /* the response head is complete */
+    bool no_body; /* a HEAD request */
+    /* the head exceeds its limit, or the body that of fetched */
+    bool too_large;
+    size_t head_bytes; /* with interim responses and trailers */
+    bool head_done;    /* the response head is complete */
     int http_status;
     struct curl_slist *headers;
     BkBuf body;
--- a/src/net/http_options.c
+++ b/src/net/http_options.c
@@ -13,6 +13,8 @@
        closed */
     UNACKED_TIMEOUT_MS = 10000,
     READ_BUFFER_BYTES = 8 * 1024,
+    /* of a response: head, interim responses before it, and trailers */
+    MAX_HEAD_BYTES = 64 * 1024,
     WRITE_BUFFER_BYTES = 16 * 1024 /* the minimum that libcurl allows */
 };
 
@@ -76,6 +78,11 @@
         return 0;
     }
     call->last_byte_at = BkClock_Now();
+    call->head_bytes += size * count;
+    if (call->head_bytes > MAX_HEAD_BYTES) {
+        call->too_large = true;
+        return 0;
+    }
     if (call->head_done) { /* a trailer */
         return size * count;
     }
