--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -53,6 +53,20 @@
     uint64_t last_event; /* used instead of the one in the caller's request */
 } BkForwardFields;
 
+/* What an upstream says of itself in a response. */
+typedef struct BkSignals {
+    /* requests a second that it takes from all daemons together; negative: it
+       names no limit */
+    double rate_limit;
+    bool bad_rate_limit; /* it names a limit that is no number from 0 on */
+    bool leaving;        /* it gets no new requests from now on */
+    bool bad_leaving;    /* the field has another value than the known one */
+    /* ms in which it wants nothing from this daemon, named in a refusal (503);
+       0: none. At most a day; of several fields, the first counts. */
+    BkMs hold_off;
+    bool bad_hold_off; /* what it names is no number of seconds from 0 on */
+} BkSignals;
+
 /* The header fields of an upstream's response that describe it. */
 typedef struct BkResponseFields {
     BkStr request_id;  /* id of the request it responds to; empty: unknown */
@@ -66,16 +80,7 @@
     int running;   /* requests */
     int waiting;   /* requests */
     int slots;     /* requests that it can run at the same time */
-    /* requests a second that it takes from all daemons together; negative: it
-       names no limit */
-    double rate_limit;
-    bool bad_rate_limit; /* it names a limit that is no number from 0 on */
-    bool leaving;        /* it gets no new requests from now on */
-    bool bad_leaving;    /* the field has another value than the known one */
-    /* ms in which it wants nothing from this daemon, named in a refusal (503);
-       0: none. At most a day; of several fields, the first counts. */
-    BkMs hold_off;
-    bool bad_hold_off; /* what it names is no number of seconds from 0 on */
+    BkSignals signals;
 } BkResponseFields;
 
 /* Reads the fields of a caller's request; the texts in out are views into
@@ -94,8 +99,12 @@
  * head. */
 void BkAdapter_ReadResponseFields(const BkH1Head *head, BkResponseFields *out);
 
-/* Whether this field of a response says that the upstream leaves. */
-bool BkAdapter_SaysLeaving(BkStr name, BkStr value);
+/* The signals of a response without any. */
+BkSignals BkAdapter_NoSignals(void);
+
+/* Adds what a field of a response says, if it is a signal. A hold-off counts
+ * in refusals only, which the program checks. */
+void BkAdapter_ReadSignal(BkStr name, BkStr value, BkSignals *out);
 
 /* Whether this status refuses a request or an order because it was meant for
  * another process, or because its model is not loaded there. */
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -5,6 +5,7 @@
 #include "bk/base/log.h"
 #include "peers.h"
 #include "planner.h"
+#include "signals.h"
 
 /* An engine gets one order at a time. Each order carries the number of orders
    that the engine must have accepted before it. An order without an answer is
@@ -103,6 +104,7 @@
 
     engine->planner = planner;
     engine->up = BkUp_Ref(up);
+    engine->signals = BkAdapter_NoSignals();
     engine->slot_timer =
         BkTimer_Create(planner->front->loop, FrAdapters_AnnounceReady, engine);
     planner->engines =
@@ -281,21 +283,27 @@
 {
     FrEngine *engine = arg;
 
-    engine->leaving_read |= BkAdapter_SaysLeaving(name, value);
+    BkAdapter_ReadSignal(name, value, &engine->signals);
 }
 
-/* If the response says that the engine leaves, marks it without waiting for its
-   report. */
+/* Heeds what the engine says of itself in its response to a poll or an order.
+   Such a response without a rate limit does not end one. */
 static void
-note_leaving(FrEngine *engine, const BkHttpResult *result, BkMs now)
+apply_signals(FrEngine *engine, const BkHttpResult *result, BkMs now)
 {
-    bool leaving = engine->leaving_read && result->http_status != 0 &&
-                   !BkAdapter_IsMisdirected(result->http_status);
+    BkSignals signals = engine->signals;
 
-    engine->leaving_read = false;
-    if (leaving && engine->up->state != BK_UP_LEAVING) {
-        BkFleet_MarkLeaving(&engine->planner->front->fleet, engine->up, now);
+    engine->signals = BkAdapter_NoSignals();
+    if (result->http_status == 0 ||
+        BkAdapter_IsMisdirected(result->http_status)) {
+        return; /* no response, or that of another process */
     }
+    if (result->http_status != 503) {
+        signals.hold_off = 0;
+        signals.bad_hold_off = false;
+    }
+    FrSignals_Apply(engine->planner->front, engine->up, &signals, false, NULL,
+                    now);
 }
 
 static void
@@ -309,7 +317,7 @@
     if (free_if_removed(engine)) {
         return;
     }
-    note_leaving(engine, result, now);
+    apply_signals(engine, result, now);
     if (result->status != BK_OK || result->http_status != 200 ||
         BkAdapter_DecodeState(body, &state) != BK_OK) {
         BkLog_Event(BK_LOG_INFO, "planner", NULL, "engine unread", "s:s, s:i",
@@ -483,7 +491,7 @@
                 "expected", (json_int_t)engine->order.expected_order_count,
                 "try", engine->order.tries, "result", result_name(result),
                 "took_ms", (json_int_t)(now - engine->order.first_sent_at));
-    note_leaving(engine, http, now);
+    apply_signals(engine, http, now);
     handle_order_result(engine, result, now);
     FrEngine_Step(engine, now);
 }
@@ -550,14 +558,16 @@
     if (engine->order_in_flight) {
         return;
     }
-    if (engine->order_unconfirmed && now >= engine->retry_at) {
+    bool held_off = now < engine->up->throttle.held_until;
+    if (engine->order_unconfirmed && now >= engine->retry_at && !held_off) {
         send_order(engine, now);
         return;
     }
     apply_store_report(engine, now);
     bool needs_poll =
         !engine->state_known || engine->loading != 0 || engine->unloading != 0;
-    if (needs_poll && !engine->polling && now >= engine->next_poll_at) {
+    if (needs_poll && !held_off && !engine->polling &&
+        now >= engine->next_poll_at) {
         poll_engine(engine);
     }
     if (engine->state_known && !engine->order_unconfirmed &&
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -74,8 +74,8 @@
     BkMs last_poll_at; /* when the last poll was sent */
     /* when a report in the store showed a finished load before any poll did */
     BkMs load_reported_at;
-    /* a response that is being read says that the engine leaves */
-    bool leaving_read;
+    /* what the engine says of itself in the responses that are being read */
+    BkSignals signals;
     bool order_in_flight; /* an order was sent and not yet answered */
     /* no answer came, so the engine may or may not have accepted the order;
        it is sent again */
--- a/src/front/signals.c
+++ b/src/front/signals.c
@@ -18,58 +18,65 @@
 }
 
 static void
-note_hold_off(FrRequest *request, BkMs delay, BkMs now)
+note_hold_off(FrFront *front, BkUp *up, BkMs delay, const char *request_id,
+              BkMs now)
 {
-    BkUp *up = request->up;
     bool was_held = now < up->throttle.held_until;
 
-    BkThrottle_NoteHoldOff(&up->throttle, delay,
-                           BkRng_Unit(&request->front->rng), now);
+    BkThrottle_NoteHoldOff(&up->throttle, delay, BkRng_Unit(&front->rng), now);
     if (up->throttle.held_until > up->no_order_until) {
         up->no_order_until = up->throttle.held_until;
     }
     if (!was_held) {
-        BkCounter_Add(request->front->metrics.hold_offs, 1);
-        BkLog_Event(BK_LOG_NOTICE, "throttle", request->id, "hold-off",
+        BkCounter_Add(front->metrics.hold_offs, 1);
+        BkLog_Event(BK_LOG_NOTICE, "throttle", request_id, "hold-off",
                     "s:s, s:I", "upstream", up->id, "for_ms",
                     (json_int_t)delay);
     }
 }
 
 static void
-log_bad_value(const FrRequest *request, const char *event)
+log_bad_value(const BkUp *up, const char *request_id, const char *event)
 {
-    BkLog_Event(BK_LOG_WARNING, "throttle", request->id, event, "s:s",
-                "upstream", request->up->id);
+    BkLog_Event(BK_LOG_WARNING, "throttle", request_id, event, "s:s",
+                "upstream", up->id);
 }
 
 void
-FrSignals_Note(FrRequest *request, const BkResponseFields *fields, BkMs now)
+FrSignals_Apply(FrFront *front, BkUp *up, const BkSignals *signals,
+                bool ends_limit, const char *request_id, BkMs now)
 {
-    BkUp *up = request->up;
-
-    if (fields->upstream_id.len > 0 &&
-        !BkStr_Equal(fields->upstream_id, BkStr_FromC(up->id))) {
-        return; /* another process runs at the address */
-    }
-    if (fields->bad_rate_limit) {
-        log_bad_value(request, "bad rate limit, ignored");
+    if (signals->bad_rate_limit) {
+        log_bad_value(up, request_id, "bad rate limit, ignored");
     }
-    else if (fields->rate_limit >= 0 || fields->has_receipt) {
-        /* a refusal without a limit does not end one */
-        FrSignals_NoteRateLimit(up, fields->rate_limit, now, "its response",
+    else if (signals->rate_limit >= 0 || ends_limit) {
+        FrSignals_NoteRateLimit(up, signals->rate_limit, now, "its response",
                                 now);
     }
-    if (fields->bad_leaving) {
-        log_bad_value(request, "bad leaving flag, ignored");
+    if (signals->bad_leaving) {
+        log_bad_value(up, request_id, "bad leaving flag, ignored");
     }
-    if (fields->leaving && up->state != BK_UP_LEAVING) {
-        BkFleet_MarkLeaving(&request->front->fleet, up, now);
+    if (signals->leaving && up->state != BK_UP_LEAVING) {
+        BkFleet_MarkLeaving(&front->fleet, up, now);
     }
-    if (fields->bad_hold_off) {
-        log_bad_value(request, "bad hold-off, ignored");
+    if (signals->bad_hold_off) {
+        log_bad_value(up, request_id, "bad hold-off, ignored");
     }
-    if (fields->hold_off > 0) {
-        note_hold_off(request, fields->hold_off, now);
+    if (signals->hold_off > 0) {
+        note_hold_off(front, up, signals->hold_off, request_id, now);
+    }
+}
+
+void
+FrSignals_Note(FrRequest *request, const BkResponseFields *fields, BkMs now)
+{
+    BkUp *up = request->up;
+
+    if (fields->upstream_id.len > 0 &&
+        !BkStr_Equal(fields->upstream_id, BkStr_FromC(up->id))) {
+        return; /* another process runs at the address */
     }
+    /* a refusal without a limit does not end one */
+    FrSignals_Apply(request->front, up, &fields->signals, fields->has_receipt,
+                    request->id, now);
 }
--- a/src/front/signals.h
+++ b/src/front/signals.h
@@ -20,6 +20,11 @@
 void FrSignals_Note(FrRequest *request, const BkResponseFields *fields,
                     BkMs now);
 
+/* The upstream said this of itself. ends_limit: a response without a limit ends
+ * one. request_id: for the log; NULL: a call of the planner. */
+void FrSignals_Apply(FrFront *front, BkUp *up, const BkSignals *signals,
+                     bool ends_limit, const char *request_id, BkMs now);
+
 /* The upstream named this rate limit, in requests a second, at seen_at;
  * negative: none. source: who read it, for the log. */
 void FrSignals_NoteRateLimit(BkUp *up, double rate, BkMs seen_at,
--- a/tests/proof/case_front_signals.py
+++ b/tests/proof/case_front_signals.py
@@ -233,3 +233,44 @@
         wait(event, lambda: len(front.events(event)) >= count)
     check(not [x for x in front.events("upstream") if x["is"] != "listed"],
           "an odd value marked it")
+
+
+@case
+def signals_hold_off_for_planner(world):
+    """An engine answers the planner's orders and polls with 503 and a time in
+    which it wants nothing: neither a request, nor an order, nor a poll reaches
+    it until then, and afterwards it gets the order."""
+    _, (upstream,), (front,) = engines(world, [{"m1": set()}])
+    wait("a planner", lambda: ask(front, "m1/a1")[0] == 200)
+    arrivals, shed_at, usual = [], [], upstream.handle
+
+    def shed(req, sock):
+        arrivals.append(time.monotonic())
+        if shed_at and arrivals[-1] >= shed_at[0] + HOLD_OFF_S:
+            return usual(req, sock)
+        shed_at.append(arrivals[-1])
+        return refusal(HOLD_OFF_S)(req, sock)
+    upstream.handle = shed
+    # only the planner can load the adapter, so that the order comes first
+    answers = press([front], HOLD_OFF_S + 3, lambda caller: caller.ask(
+        "/llm/", b"", X_Model="m1/a2", X_Token_Count="300,9",
+        X_Deadline_Ms="1000"))
+    between = [x for x in arrivals
+               if shed_at[0] + GRACE_S <= x < shed_at[0] + HOLD_OFF_S]
+    check(len(between) <= TOLERATED, "%d orders, polls or requests in the "
+          "hold-off", len(between))
+    check({code for code, _ in answers} == {200, 503}, "%s",
+          {code for code, _ in answers})
+
+
+@case
+def signals_limit_read_by_planner(world):
+    """An engine that no request has reached yet names a limit in its answer to
+    the planner's poll or order: the limit is kept to from then on."""
+    _, (upstream,), (front,) = engines(world, [{"m1": set()}])
+    wait("a planner", lambda: ask(front, "m1/a1")[0] == 200)
+    upstream.state_fields = b"Server-Limit: 0.5\r\n"
+    ask(front, "m1/a2", X_Deadline_Ms="1500")
+    wait("the limit is known", lambda: any(
+        x["upstream"] == upstream.id and x["per_s"] == 0.5
+        for x in front.events("rate limit")), 5)
--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -80,15 +80,17 @@
                  fields.has_receipt ? " sealed" : "",
                  fields.not_run ? " not run" : "",
                  fields.encoded ? " encoded" : "");
-    if (fields.rate_limit >= 0 || fields.bad_rate_limit) {
-        BkBuf_Printf(out, " limit %s%g", fields.bad_rate_limit ? "bad " : "",
-                     fields.rate_limit);
+    if (fields.signals.rate_limit >= 0 || fields.signals.bad_rate_limit) {
+        BkBuf_Printf(out, " limit %s%g",
+                     fields.signals.bad_rate_limit ? "bad " : "",
+                     fields.signals.rate_limit);
     }
-    BkBuf_Printf(out, "%s%s%s", fields.leaving ? " leaving" : "",
-                 fields.bad_leaving ? " bad leaving" : "",
-                 fields.bad_hold_off ? " bad hold-off" : "");
-    if (fields.hold_off > 0) {
-        BkBuf_Printf(out, " hold-off %lld", (long long)fields.hold_off);
+    BkBuf_Printf(out, "%s%s%s", fields.signals.leaving ? " leaving" : "",
+                 fields.signals.bad_leaving ? " bad leaving" : "",
+                 fields.signals.bad_hold_off ? " bad hold-off" : "");
+    if (fields.signals.hold_off > 0) {
+        BkBuf_Printf(out, " hold-off %lld",
+                     (long long)fields.signals.hold_off);
     }
     if (fields.has_load) {
         BkBuf_Printf(out, " load %d+%d of %d", fields.running, fields.waiting,
