origin: decide what the answers say apart from asking, and earlier

Of four daemons that are asked for an unknown stream, one that just died made the request wait for three timeouts (90 ms), though the others agreed. The decision is a pure function of the evidence now: half of the answers, without a word of another version, are enough after the first timeout (30 ms). A refusal still waits for all answers or three timeouts.

--- a/include/bk/origin/origin.h
+++ b/include/bk/origin/origin.h
@@ -27,7 +27,8 @@
        dropped, and counted */
     BK_ORIGIN_MAX_STREAMS = 16384,
     BK_ORIGIN_MAX_ASKED = 4, /* daemons that are asked for one stream */
-    BK_ORIGIN_HOMES = 2      /* daemons that are told of one stream */
+    BK_ORIGIN_HOMES = 2,     /* daemons that are told of one stream */
+    BK_ORIGIN_MAX_TRIES = 3  /* times that a question is sent */
 };
 
 /* A stream that began at a version. */
@@ -103,6 +104,8 @@
 typedef struct BkOriginEvidence {
     BkOriginView own;
     bool has_peers; /* other daemons run, as far as is known */
+    int asked;      /* other daemons that were asked */
+    int timeouts;   /* times that the question was sent without all answers */
     int answers;    /* of other daemons */
     bool several;   /* one of them sees several versions, or another one */
     bool complete;  /* one of them saw all that served in the last memory */
@@ -111,9 +114,14 @@
 /* Adds an answer that does not name the stream's version. */
 void BkOrigin_AddView(BkOriginEvidence *evidence, const BkOriginView *view);
 
-/* Whether the service's only version must have begun the stream. The view of
- * a daemon that is cut off from all others may be old, so that one of them has
- * to agree. */
-bool BkOrigin_IsOnlyVersion(const BkOriginEvidence *evidence);
+typedef enum BkOriginDecision {
+    BK_ORIGIN_WAIT,  /* for further answers, or the next timeout */
+    BK_ORIGIN_GO_ON, /* the service's only version must have begun it */
+    BK_ORIGIN_REFUSE /* nobody knows the version */
+} BkOriginDecision;
+
+/* Decides after an answer or a timeout. The view of a daemon that is cut off
+ * from all others may be old, so that one of them has to agree. */
+BkOriginDecision BkOrigin_Decide(const BkOriginEvidence *evidence);
 
 #endif
--- a/src/front/origins.c
+++ b/src/front/origins.c
@@ -9,7 +9,6 @@
     TELL_DELAY = 10,  /* ms; streams that begin within it are told together */
     ASK_TIMEOUT = 30, /* ms until an unanswered ask is sent again; several
                          round trips between failure domains */
-    MAX_TRIES = 3,
     /* ms; Retry-After of a stream whose version is not known: later, another
        daemon may answer that does not now */
     UNKNOWN_RETRY_AFTER = 500
@@ -252,13 +251,9 @@
 }
 
 static void
-decide(FrOrigins *origins, FrRequest *request,
+refuse(FrOrigins *origins, FrRequest *request,
        const BkOriginEvidence *evidence)
 {
-    if (BkOrigin_IsOnlyVersion(evidence)) {
-        go_on_at(request, evidence->own.version);
-        return;
-    }
     BkCounter_Add(origins->refused, 1);
     BkLog_Event(BK_LOG_INFO, "origin", request->id, "version not known",
                 "s:s, s:i, s:b, s:i, s:b", "resumed", request->resumed_id,
@@ -269,28 +264,39 @@
                      UNKNOWN_RETRY_AFTER);
 }
 
-static void
+/* Ends the ask if that can be decided; returns whether it did. */
+static bool
 finish_ask(FrOrigins *origins, FrOriginAsk *ask)
 {
     FrRequest *request = ask->request;
     BkOriginEvidence evidence = ask->evidence;
 
-    remove_ask(origins, ask);
-    decide(origins, request, &evidence);
+    switch (BkOrigin_Decide(&evidence)) {
+    case BK_ORIGIN_WAIT:
+        return false;
+    case BK_ORIGIN_GO_ON:
+        remove_ask(origins, ask);
+        go_on_at(request, evidence.own.version);
+        break;
+    case BK_ORIGIN_REFUSE:
+        remove_ask(origins, ask);
+        refuse(origins, request, &evidence);
+        break;
+    }
+    return true;
 }
 
-/* Returns false if there is no daemon to ask. */
-static bool
+static void
 send_asks(FrOrigins *origins, FrOriginAsk *ask, BkMs now)
 {
     FrFront *front = origins->front;
     FrPeer *peers[BK_ORIGIN_MAX_ASKED];
     uint64_t stream = BkOrigin_Key(BkStr_FromC(ask->request->resumed_id));
 
-    ask->tries++;
-    ask->asked = choose_peers(origins, stream, BK_ORIGIN_MAX_ASKED / 2,
-                              BK_ORIGIN_MAX_ASKED / 2, now, peers);
-    for (int i = 0; i < ask->asked; i++) {
+    ask->evidence.asked =
+        choose_peers(origins, stream, BK_ORIGIN_MAX_ASKED / 2,
+                     BK_ORIGIN_MAX_ASKED / 2, now, peers);
+    for (int i = 0; i < ask->evidence.asked; i++) {
         bkp_origin_ask message = {front->conf.name, ask->number, (u_int)i,
                                   stream, ask->request->query.service};
         FrPeers_Send(front->peers, peers[i], BKP_ORIGIN_ASK, &message);
@@ -298,7 +304,6 @@
     if (!BkTimer_Running(origins->ask_timer)) {
         BkTimer_Start(origins->ask_timer, ASK_TIMEOUT);
     }
-    return ask->asked > 0;
 }
 
 void
@@ -330,9 +335,8 @@
     origins->asks = ask;
     request->origin_ask = ask;
     BkCounter_Add(origins->asked, 1);
-    if (!send_asks(origins, ask, now)) {
-        finish_ask(origins, ask);
-    }
+    send_asks(origins, ask, now);
+    finish_ask(origins, ask); /* if there is nobody to ask */
 }
 
 static void
@@ -345,8 +349,9 @@
     /* an ask that was sent less than ASK_TIMEOUT ago is sent again early */
     for (FrOriginAsk *ask = origins->asks; ask != NULL; ask = next) {
         next = ask->next;
-        if (ask->tries >= MAX_TRIES || !send_asks(origins, ask, now)) {
-            finish_ask(origins, ask);
+        ask->evidence.timeouts++;
+        if (!finish_ask(origins, ask)) {
+            send_asks(origins, ask, now);
         }
     }
     if (origins->asks != NULL && !BkTimer_Running(origins->ask_timer)) {
@@ -401,7 +406,7 @@
     while (ask != NULL && ask->number != answer->number) {
         ask = ask->next;
     }
-    if (ask == NULL) {
+    if (ask == NULL || bit == 0) {
         return; /* too late, or the request no longer waits for it */
     }
     if (answer->kind == BKP_ORIGIN_KNOWN) {
@@ -416,9 +421,7 @@
         BkOrigin_AddView(&ask->evidence, &view);
     }
     ask->answered |= bit;
-    if (ask->evidence.answers >= ask->asked) {
-        finish_ask(origins, ask);
-    }
+    finish_ask(origins, ask);
 }
 
 FrOrigins *
--- a/src/front/origins.h
+++ b/src/front/origins.h
@@ -19,8 +19,6 @@
 typedef struct FrOriginAsk {
     FrRequest *request;
     uint32_t number;
-    int tries;
-    int asked;         /* daemons */
     uint32_t answered; /* bit for each place that has answered */
     BkOriginEvidence evidence;
     struct FrOriginAsk *prev;
--- a/src/origin/decide.c
+++ b/src/origin/decide.c
@@ -12,8 +12,8 @@
     evidence->complete = evidence->complete || view->complete;
 }
 
-bool
-BkOrigin_IsOnlyVersion(const BkOriginEvidence *evidence)
+static bool
+is_only_version(const BkOriginEvidence *evidence)
 {
     if (evidence->own.versions != 1 || evidence->several ||
         (evidence->has_peers && evidence->answers == 0)) {
@@ -21,3 +21,16 @@
     }
     return evidence->own.complete || evidence->complete;
 }
+
+BkOriginDecision
+BkOrigin_Decide(const BkOriginEvidence *evidence)
+{
+    bool all = evidence->answers >= evidence->asked;
+    bool half = 2 * evidence->answers >= evidence->asked;
+
+    if (!all && evidence->timeouts < BK_ORIGIN_MAX_TRIES &&
+        !(half && evidence->timeouts > 0 && is_only_version(evidence))) {
+        return BK_ORIGIN_WAIT;
+    }
+    return is_only_version(evidence) ? BK_ORIGIN_GO_ON : BK_ORIGIN_REFUSE;
+}
--- a/tests/proof/case_front_versions.py
+++ b/tests/proof/case_front_versions.py
@@ -211,3 +211,24 @@
     time.sleep(0.7)
     answer = take_up(front, "unheard")
     check(answer == (200, stream_bytes(FIRST + 1, LAST), True), "%s", answer)
+
+
+@case
+def versions_beside_silent_daemons(world):
+    """A single version has served for long, and nobody remembers a stream: it
+    goes on although a daemon that is asked does not answer. A daemon that
+    none of the others answers refuses it, since its view may be old."""
+    _, streams, _, fronts = start(world, ("v1", "v1"), 4,
+                                  stream_memory="500ms")
+    time.sleep(0.7)
+    fronts[3].freeze()
+    for number in range(6):
+        answer = take_up(fronts[number % 3], "unheard%d" % number)
+        check(answer == (200, stream_bytes(FIRST + 1, LAST), True), "%s",
+              answer)
+    for front in fronts[1:3]:
+        front.freeze()
+    code = take_up(fronts[0], "unheard")[0]
+    check(code == 503, "%s", code)
+    for front in fronts[1:]:
+        front.thaw()
--- a/tests/unit/test_origin.c
+++ b/tests/unit/test_origin.c
@@ -23,20 +23,22 @@
                           .complete = BkStr_Equal(text, BK_STR("complete"))};
 }
 
-/* decide OWN alone|peers [ANSWER...] */
+/* decide OWN alone|peers ASKED TIMEOUTS [ANSWER...] */
 static void
 decide(char **words, int count, BkBuf *out)
 {
+    static const char *const decisions[] = {"wait", "the only version",
+                                            "not known"};
     BkOriginEvidence evidence = {.own = read_view(words[1]),
-                                 .has_peers = strcmp(words[2], "peers") == 0};
+                                 .has_peers = strcmp(words[2], "peers") == 0,
+                                 .asked = atoi(words[3]),
+                                 .timeouts = atoi(words[4])};
 
-    for (int i = 3; i < count; i++) {
+    for (int i = 5; i < count; i++) {
         BkOriginView view = read_view(words[i]);
         BkOrigin_AddView(&evidence, &view);
     }
-    BkBuf_Printf(out, "  %s\n",
-                 BkOrigin_IsOnlyVersion(&evidence) ? "the only version"
-                                                   : "not known");
+    BkBuf_Printf(out, "  %s\n", decisions[BkOrigin_Decide(&evidence)]);
 }
 
 static bool
