--- a/tests/proof/case_front_versions.py
+++ b/tests/proof/case_front_versions.py
@@ -1,5 +1,8 @@
 """Upstreams of several software versions: a stream goes on only at the version
-that began it."""
+that began it. The environment variable FRONTS sets the number of daemons in
+versions_after_death_of_daemon, e.g. FRONTS=60.
+"""
+import os
 import threading
 import time
 
@@ -12,6 +15,7 @@
 LAST = 9    # the events of a stream
 FIRST = 3   # of these, the ones before it breaks off
 CALLERS = 24
+FRONTS = int(os.environ.get("FRONTS", "4"))
 AT_ONCE_S = 1  # a stream that nobody can go on with is refused so soon
 
 
@@ -128,7 +132,8 @@
     """The daemon that passed the beginning of some streams on is killed. Their
     callers take them up at other daemons: each goes on at the version that
     began it."""
-    _, streams, upstreams, fronts = start(world, ("v1", "v2", "v1", "v2"), 4)
+    _, streams, upstreams, fronts = start(world, ("v1", "v2", "v1", "v2"),
+                                          FRONTS)
     for upstream in upstreams:
         streams.serve(upstream, stalls=True)
     ids, _ = begin_streams(fronts[0])
@@ -137,7 +142,7 @@
     streams.released.set()
     answers = []
     together(*[lambda n=n, stream=stream: answers.append(
-        take_up(fronts[1 + n % 3], stream)) for n, stream in enumerate(ids)])
+        take_up(fronts[1 + n % (FRONTS - 1)], stream)) for n, stream in enumerate(ids)])
     streams.check()
     rest = stream_bytes(FIRST + 1, LAST)
     whole = [x for x in answers if x == (200, rest, True)]
