front: log the parts of a prompt, the request's digest and its caller

The line of each answered request now names the ids of its parts but the last, a hash of what a caller repeats, and the caller's address.

--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -2,6 +2,7 @@
 #include "planner.h"
 #include "request.h"
 
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <xxhash.h>
 
@@ -75,6 +76,42 @@
     }
 }
 
+/* Finds the caller's address; "" if the connection is already gone. */
+static void
+find_caller_ip(const FrCallerConn *caller_conn, char *out)
+{
+    struct sockaddr_in address = {0};
+    socklen_t size = sizeof(address);
+
+    if (getpeername(caller_conn->fd, (struct sockaddr *)&address, &size) < 0 ||
+        inet_ntop(AF_INET, &address.sin_addr, out, INET_ADDRSTRLEN) == NULL) {
+        out[0] = '\0';
+    }
+}
+
+static uint64_t
+add_to_hash(uint64_t hash, BkStr text)
+{
+    return XXH64(text.ptr, text.len, hash + text.len);
+}
+
+/* The request's head and body must have been read completely. */
+static void
+fill_identity(FrRequest *request, const BkH1Head *head,
+              const BkRequestFields *fields)
+{
+    request->part_count = fields->part_count > 0 ? fields->part_count - 1 : 0;
+    for (int i = 0; i < request->part_count; i++) {
+        request->parts[i] = fields->parts[i].id;
+    }
+    find_caller_ip(request->caller_conn, request->caller_ip);
+    uint64_t hash = add_to_hash(0, BkStr_FromC(request->caller_ip));
+    hash = add_to_hash(hash, head->method);
+    hash = add_to_hash(hash, BkH1Head_Find(head, "Host"));
+    hash = add_to_hash(hash, head->target);
+    request->digest = add_to_hash(hash, BkBuf_Str(&request->body));
+}
+
 static FrRequest *
 create_request(FrCallerConn *caller_conn, const BkSiteRoute *route,
                const BkRequestFields *fields)
@@ -166,6 +203,7 @@
     request->bodiless = BkStr_Equal(head->method, BK_STR("HEAD"));
     request->body = caller_conn->body;
     caller_conn->body = BkBuf_Make(0);
+    fill_identity(request, head, &fields);
     build_request_head(request, head);
     FrFront_CountRequest(front, request->query.service, now);
     if (request->model != NULL) {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -11,6 +11,7 @@
 #ifndef BK_FRONT_FRONT_H
 #define BK_FRONT_FRONT_H
 
+#include <netinet/in.h>
 #include <stdbool.h>
 
 #include "bk/base/counters.h"
@@ -308,6 +309,13 @@
     BkMs deadline;   /* earlier deadline of the caller's and the route's */
     BkTimer *timer;  /* deadline, or retry of a slow attempt */
     BkPickQuery query;
+    /* ids of the parts of its prompt, without the last, which is its own */
+    uint64_t parts[BK_MAX_PROMPT_PARTS];
+    int part_count;
+    /* hash of what a caller repeats when it sends the request again: its
+       address, the method, host, target and body */
+    uint64_t digest;
+    char caller_ip[INET_ADDRSTRLEN];
     BkBuf head; /* request line and forwarded fields */
     BkBuf body; /* of the request */
 
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -3,6 +3,7 @@
 #include "planner.h"
 #include "request.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 
 #include "bk/base/log.h"
@@ -53,6 +54,19 @@
     release_upstream(request);
 }
 
+/* "5c1e07a2,91bd3f06" */
+static BkBuf
+list_parts(const FrRequest *request)
+{
+    BkBuf text = BkBuf_Make(0);
+
+    for (int i = 0; i < request->part_count; i++) {
+        BkBuf_Printf(&text, "%s%llx", i == 0 ? "" : ",",
+                     (unsigned long long)request->parts[i]);
+    }
+    return text;
+}
+
 static void
 log_outcome(const FrRequest *request, int code)
 {
@@ -61,12 +75,16 @@
                                            [FR_FRAMING_CHUNKS] = "chunks",
                                            [FR_FRAMING_CLOSE] = "close"};
     BkMs now = BkClock_Now();
+    BkBuf parts = list_parts(request);
+    char digest[20];
 
+    snprintf(digest, sizeof(digest), "%016llx",
+             (unsigned long long)request->digest);
     BkLog_Event(
         BK_LOG_INFO, "relay", request->id, "answered",
         "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
         "s:I, s:I, s:I, s:I, s:s?, s:I, s:s, "
-        "s:s",
+        "s:s, s:s, s:s, s:s",
         "route", request->route, "service", request->service, "model",
         request->model, "adapter", request->adapter, "code", code, "why",
         request->why, "upstream", request->last_up_id, "sends",
@@ -90,7 +108,9 @@
                          : request->front->site->version),
         "framing", framings[request->framing], "partial_event",
         (json_int_t)request->partial_event, "software", request->last_software,
-        "resumed", request->resumed_id);
+        "resumed", request->resumed_id, "parts", BkBuf_C(&parts), "digest",
+        digest, "caller", request->caller_ip);
+    BkBuf_Destroy(&parts);
 }
 
 void
