--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -109,7 +109,16 @@
     hash = add_to_hash(hash, head->method);
     hash = add_to_hash(hash, BkH1Head_Find(head, "Host"));
     hash = add_to_hash(hash, head->target);
-    request->digest = add_to_hash(hash, BkBuf_Str(&request->body));
+    hash = add_to_hash(hash, BkBuf_Str(&request->body));
+    if (request->body.len == 0) {
+        /* the fields that describe the prompt tell it apart */
+        hash = add_to_hash(hash, fields->model);
+        hash = add_to_hash(hash, fields->adapter);
+        hash = XXH64(fields->parts,
+                     (size_t)fields->part_count * sizeof(fields->parts[0]),
+                     hash);
+    }
+    request->digest = hash;
 }
 
 static FrRequest *
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -236,6 +236,7 @@
         self.busy, self.overcommits, self.reports = None, [], []
         self.state_fields = b""  # header lines of answers to the planner
         self.lock = threading.Lock()
+        self.connections, self.ended = set(), False
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -254,12 +255,39 @@
 
     def accept(self):
         while True:
-            connection, _ = self.listener.accept()
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return  # it has crashed
             threading.Thread(target=self.serve, args=(connection,),
                              daemon=True).start()
 
+    def crash(self):
+        """Its process ends: it resets what is open and accepts nothing more.
+        Its row stays, as it does until the store drops it."""
+        with self.lock:
+            self.ended = True
+            open_connections, self.connections = self.connections, set()
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes accept()
+        self.listener.close()
+        for connection in open_connections:
+            abort(connection)
+
     def serve(self, connection):
         buffer = b""
+        with self.lock:
+            self.connections.add(connection)
+            ended = self.ended
+        if ended:
+            abort(connection)
+        try:
+            self.serve_requests(connection, buffer)
+        finally:
+            with self.lock:
+                self.connections.discard(connection)
+
+    def serve_requests(self, connection, buffer):
         with contextlib.suppress(OSError), connection:
             while True:
                 while b"\r\n\r\n" not in buffer:
