--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -26,6 +26,9 @@
 #define BKP_MAX_ROW_BYTES 1400
 #define BKP_MAX_FORWARD 12
 #define BKP_MAX_ORIGINS 64
+#define BKP_MAX_SUSPECTS 24
+#define BKP_MAX_WELL_RUNS 24
+#define BKP_MAX_VERDICTS 16
 
 struct bkp_load {
 	u_int up;
@@ -278,6 +281,68 @@
 };
 typedef struct bkp_origin_answer bkp_origin_answer;
 
+struct bkp_trait {
+	u_int service;
+	u_int kind;
+	u_quad_t id;
+};
+typedef struct bkp_trait bkp_trait;
+
+struct bkp_suspect {
+	bkp_trait trait;
+	u_quad_t request;
+	u_int depth;
+	u_int sent_age;
+};
+typedef struct bkp_suspect bkp_suspect;
+
+struct bkp_crash {
+	bkp_spread spread;
+	u_int up;
+	u_quad_t started_at;
+	u_int age;
+	struct {
+		u_int suspects_len;
+		bkp_suspect *suspects_val;
+	} suspects;
+};
+typedef struct bkp_crash bkp_crash;
+
+struct bkp_well_run {
+	bkp_trait trait;
+	u_int sent_age;
+};
+typedef struct bkp_well_run bkp_well_run;
+
+struct bkp_well {
+	bkp_spread spread;
+	struct {
+		u_int rows_len;
+		bkp_well_run *rows_val;
+	} rows;
+};
+typedef struct bkp_well bkp_well;
+
+struct bkp_verdict {
+	bkp_trait trait;
+	u_int generation;
+	int lifted;
+	u_int trials;
+	u_int age;
+	u_int evidence_age;
+	u_int claimant;
+};
+typedef struct bkp_verdict bkp_verdict;
+
+struct bkp_verdicts {
+	bkp_spread spread;
+	struct {
+		u_int rows_len;
+		bkp_verdict *rows_val;
+	} rows;
+};
+typedef struct bkp_verdicts bkp_verdicts;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 2
 
@@ -318,6 +383,15 @@
 #define BKP_ORIGIN_ANSWER 14
 extern  void * bkp_origin_answer_2(bkp_origin_answer *, CLIENT *);
 extern  void * bkp_origin_answer_2_svc(bkp_origin_answer *, struct svc_req *);
+#define BKP_CRASH 15
+extern  void * bkp_crash_2(bkp_crash *, CLIENT *);
+extern  void * bkp_crash_2_svc(bkp_crash *, struct svc_req *);
+#define BKP_WELL 16
+extern  void * bkp_well_2(bkp_well *, CLIENT *);
+extern  void * bkp_well_2_svc(bkp_well *, struct svc_req *);
+#define BKP_VERDICTS 17
+extern  void * bkp_verdicts_2(bkp_verdicts *, CLIENT *);
+extern  void * bkp_verdicts_2_svc(bkp_verdicts *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -357,6 +431,15 @@
 #define BKP_ORIGIN_ANSWER 14
 extern  void * bkp_origin_answer_2();
 extern  void * bkp_origin_answer_2_svc();
+#define BKP_CRASH 15
+extern  void * bkp_crash_2();
+extern  void * bkp_crash_2_svc();
+#define BKP_WELL 16
+extern  void * bkp_well_2();
+extern  void * bkp_well_2_svc();
+#define BKP_VERDICTS 17
+extern  void * bkp_verdicts_2();
+extern  void * bkp_verdicts_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -390,6 +473,13 @@
 extern  bool_t xdr_bkp_origin_ask (XDR *, bkp_origin_ask*);
 extern  bool_t xdr_bkp_origin_kind (XDR *, bkp_origin_kind*);
 extern  bool_t xdr_bkp_origin_answer (XDR *, bkp_origin_answer*);
+extern  bool_t xdr_bkp_trait (XDR *, bkp_trait*);
+extern  bool_t xdr_bkp_suspect (XDR *, bkp_suspect*);
+extern  bool_t xdr_bkp_crash (XDR *, bkp_crash*);
+extern  bool_t xdr_bkp_well_run (XDR *, bkp_well_run*);
+extern  bool_t xdr_bkp_well (XDR *, bkp_well*);
+extern  bool_t xdr_bkp_verdict (XDR *, bkp_verdict*);
+extern  bool_t xdr_bkp_verdicts (XDR *, bkp_verdicts*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -419,6 +509,13 @@
 extern bool_t xdr_bkp_origin_ask ();
 extern bool_t xdr_bkp_origin_kind ();
 extern bool_t xdr_bkp_origin_answer ();
+extern bool_t xdr_bkp_trait ();
+extern bool_t xdr_bkp_suspect ();
+extern bool_t xdr_bkp_crash ();
+extern bool_t xdr_bkp_well_run ();
+extern bool_t xdr_bkp_well ();
+extern bool_t xdr_bkp_verdict ();
+extern bool_t xdr_bkp_verdicts ();
 
 #endif /* K&R C */
 
--- /dev/null
+++ b/include/bk/quarantine/tally.h
@@ -0,0 +1,99 @@
+/*
+ * tally - counts the crashes of upstreams that speak against a trait
+ *
+ * A crash of an upstream counts against the traits of the requests that ran
+ * there and had written little or nothing (the suspects), unless a request
+ * with the trait that was sent later has run well. After enough crashes the
+ * trait is held: its requests wait while other daemons may object. Without an
+ * objection it is convicted.
+ *
+ * All daemons get the same crashes and objections, so that their tallies
+ * agree without a coordinator.
+ *
+ * Units: times in ms on the monotonic clock.
+ */
+#ifndef BK_QUARANTINE_TALLY_H
+#define BK_QUARANTINE_TALLY_H
+
+#include "bk/base/clock.h"
+#include "bk/quarantine/trait.h"
+
+enum {
+    BK_TALLY_MAX_ROWS = 256,
+    BK_TALLY_MAX_CRASHES = 4, /* that are kept for a trait */
+    BK_TALLY_HOLD = 400,      /* ms in which a daemon may object */
+    BK_TALLY_MEMORY = 120000  /* ms for which a crash counts */
+};
+
+/* The end of an upstream's process. */
+typedef struct BkCrash {
+    uint32_t upstream;   /* key of its id */
+    uint64_t started_at; /* of the process, in ms since 1970; 0: not known */
+    BkMs at;
+} BkCrash;
+
+/* A trait of a request that ran there. */
+typedef struct BkSuspect {
+    BkTrait trait;
+    uint64_t request; /* hash of what its caller repeats */
+    int depth;        /* of a part in its prompt, from 0; deeper parts are more
+                         specific */
+    BkMs sent_at;     /* when the request was sent to the upstream */
+} BkSuspect;
+
+typedef struct BkTallyCrash {
+    BkCrash crash;
+    uint64_t request;
+    BkMs sent_at;
+} BkTallyCrash;
+
+typedef struct BkTallyRow {
+    BkTrait trait;
+    BkTallyCrash crashes[BK_TALLY_MAX_CRASHES];
+    int count;
+    int depth;      /* the smallest of the suspects' */
+    BkMs decide_at; /* convicted then; 0: not held */
+    bool own;       /* this daemon reported the last crash */
+} BkTallyRow;
+
+typedef struct BkTally {
+    BkTallyRow *rows;
+    int count;
+    int64_t dropped; /* rows for which there was no room */
+} BkTally;
+
+BkTally BkTally_Make(void);
+void BkTally_Destroy(BkTally *tally);
+
+/* Counts a crash against a suspect's trait. own: this daemon reports it.
+ * Returns the trait's row, or NULL if there is none. A crash within 100 ms of
+ * a counted one is not counted, since one cause that ends several upstreams at
+ * once is not a request; nor is a further crash by the same request. */
+const BkTallyRow *BkTally_NoteCrash(BkTally *tally, const BkCrash *crash,
+                                    const BkSuspect *suspect, bool own,
+                                    BkMs now);
+
+/* A request with the trait that was sent at sent_at ran well: crashes of
+ * requests that were sent before no longer count. */
+void BkTally_NoteWell(BkTally *tally, const BkTrait *trait, BkMs sent_at);
+
+/* Whether a daemon that knows of this run that went well has to tell the
+ * others: one more crash, or none, would convict the trait. */
+bool BkTally_IsContradicted(const BkTally *tally, const BkTrait *trait,
+                            BkMs well_sent_at);
+
+/* Whether requests with the trait have to wait for the decision. */
+bool BkTally_IsHeld(const BkTally *tally, const BkTrait *trait, BkMs now);
+
+/* When the next decision is due; 0: none is pending. */
+BkMs BkTally_NextDecision(const BkTally *tally);
+
+/* Takes the row of a trait whose time to object has ended; false if there is
+ * none. The row with the most crashes is taken first, of these the deepest
+ * part; its crashes no longer count against other traits of its kind. */
+bool BkTally_TakeConvicted(BkTally *tally, BkMs now, BkTallyRow *out);
+
+/* Forgets old crashes. */
+void BkTally_Expire(BkTally *tally, BkMs now);
+
+#endif
--- /dev/null
+++ b/include/bk/quarantine/verdict.h
@@ -0,0 +1,80 @@
+/*
+ * verdict - the traits whose requests are refused, and for how long
+ *
+ * A verdict bars the requests with a trait for a term. At its end one request
+ * is let through as a trial, for all daemons together: the daemon that has one
+ * claims the trial, which begins the next, longer term, and sends it if no
+ * other claim was heard meanwhile. A request with the trait that runs well
+ * lifts the verdict.
+ *
+ * Daemons tell each other their verdicts. Each change raises the generation,
+ * so that all end with the same rows in whatever order they hear of them. A
+ * lifted verdict is kept for a while, or an older message would bring it back.
+ *
+ * Units: times in ms on the monotonic clock.
+ */
+#ifndef BK_QUARANTINE_VERDICT_H
+#define BK_QUARANTINE_VERDICT_H
+
+#include "bk/base/clock.h"
+#include "bk/quarantine/trait.h"
+
+enum {
+    BK_VERDICTS_MAX = 64
+};
+
+typedef struct BkVerdict {
+    BkTrait trait;
+    uint32_t generation;
+    bool lifted;
+    int trials;          /* begun so far */
+    BkMs since;          /* begin of the term, or when it was lifted */
+    BkMs evidence_since; /* when the request of the first crash was sent */
+    uint32_t claimant;   /* key of the daemon that claimed the last trial; 0:
+                            none */
+    int64_t refused;     /* requests refused by this daemon */
+} BkVerdict;
+
+typedef struct BkVerdicts {
+    BkVerdict rows[BK_VERDICTS_MAX];
+    int count;
+    int active;      /* rows that are not lifted */
+    int64_t dropped; /* verdicts for which there was no room */
+} BkVerdicts;
+
+typedef enum BkVerdictState {
+    BK_VERDICT_NONE,
+    BK_VERDICT_BARRED,
+    BK_VERDICT_TRIAL_DUE /* its term has ended */
+} BkVerdictState;
+
+/* The trait's row, also a lifted one; NULL: none. */
+BkVerdict *BkVerdicts_Find(BkVerdicts *verdicts, const BkTrait *trait);
+
+BkVerdictState BkVerdicts_Check(BkVerdicts *verdicts, const BkTrait *trait,
+                                BkMs now);
+
+/* When the verdict's term ends. */
+BkMs BkVerdict_Until(const BkVerdict *verdict);
+
+/* Begins a verdict; NULL if the trait is barred already. */
+const BkVerdict *BkVerdicts_Convict(BkVerdicts *verdicts, const BkTrait *trait,
+                                    BkMs evidence_since, BkMs now);
+
+/* Claims the trial at the end of a term. */
+const BkVerdict *BkVerdicts_Claim(BkVerdicts *verdicts, const BkTrait *trait,
+                                  uint32_t claimant, BkMs now);
+
+/* Lifts the verdict after a run that went well; NULL if there is none. */
+const BkVerdict *BkVerdicts_Lift(BkVerdicts *verdicts, const BkTrait *trait,
+                                 BkMs now);
+
+/* Takes over what another daemon tells. Returns whether that changed
+ * anything. */
+bool BkVerdicts_Merge(BkVerdicts *verdicts, const BkVerdict *told, BkMs now);
+
+/* Forgets lifted verdicts after a minute, and the others when no trial was
+ * claimed for ten minutes after a term. */
+void BkVerdicts_Expire(BkVerdicts *verdicts, BkMs now);
+
+#endif
--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -114,9 +114,9 @@
         /* the fields that describe the prompt tell it apart */
         hash = add_to_hash(hash, fields->model);
         hash = add_to_hash(hash, fields->adapter);
-        hash = XXH64(fields->parts,
-                     (size_t)fields->part_count * sizeof(fields->parts[0]),
-                     hash);
+        hash =
+            XXH64(fields->parts,
+                  (size_t)fields->part_count * sizeof(fields->parts[0]), hash);
     }
     request->digest = hash;
 }
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -1,6 +1,7 @@
 #include "bk/wait/wait.h"
 #include "admission.h"
 #include "planner.h"
+#include "quarantine.h"
 #include "request.h"
 
 #include <stdio.h>
@@ -114,6 +115,8 @@
     }
     request->send_count++;
     request->sent_at = now;
+    request->output_at = 0;
+    request->noted_well = false;
     if (request->stage == FR_WAITING) {
         request->stage = FR_SENT;
     }
@@ -282,6 +285,10 @@
             ? NULL
             : BkSite_FindService(front->site, request->service);
 
+    if (FrQuarantine_Check(front->quarantine, request, now) !=
+        FR_QUARANTINE_FREE) {
+        return true;
+    }
     request->query.engine = service == NULL ? NULL : service->engine;
     BkPickChoice choice =
         BkPick_Choose(&conf, &front->fleet, &request->query, now);
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -1,6 +1,7 @@
 #include "admission.h"
 #include "origins.h"
 #include "planner.h"
+#include "quarantine.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -223,6 +224,7 @@
     front->admission = FrAdmission_Create(front);
     front->origins = FrOrigins_Create(front);
     front->planner = FrPlanner_Create(front);
+    front->quarantine = FrQuarantine_Create(front);
     front->sync = FrSync_Create(front);
     BkTimer_Start(front->sweep_timer, SWEEP_PERIOD);
     return front;
@@ -260,6 +262,7 @@
     FrPeers_Destroy(front->peers);
     FrAdmission_Destroy(front->admission);
     FrOrigins_Destroy(front->origins);
+    FrQuarantine_Destroy(front->quarantine);
     BkFleet_Destroy(&front->fleet);
     BkHttpServer_Destroy(front->ops_server);
     BkHttpClient_Destroy(front->http);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -38,6 +38,7 @@
 typedef struct FrPeer FrPeer;
 typedef struct FrPeers FrPeers;
 typedef struct FrPlanner FrPlanner;
+typedef struct FrQuarantine FrQuarantine;
 typedef struct FrSync FrSync;
 
 enum {
@@ -105,6 +106,7 @@
     FrAdmission *admission;
     FrOrigins *origins;
     FrPlanner *planner;
+    FrQuarantine *quarantine;
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
     int budget_count;
@@ -336,6 +338,8 @@
     char last_up_id[FR_REQUEST_ID_BYTES]; /* id of the last upstream */
     char last_software[FR_SOFTWARE_BYTES]; /* its version of its software */
     BkMs sent_at;                          /* time of the last attempt */
+    BkMs output_at;      /* first byte of the body in this attempt; 0: none */
+    bool noted_well;     /* this attempt did not crash its upstream */
     bool prompt_counted; /* the prompt is counted as unprocessed there */
     int send_count;      /* attempts */
     int run_count;       /* failed attempts that may have run */
@@ -366,6 +370,11 @@
     /* when the first engine that holds its model can load the adapter */
     BkMs adapter_loadable_at;
     BkMs open_at; /* when the first upstream that asked for a pause is back */
+    /* quarantine.h: it waits for a decision; the generation of the verdict
+       whose trial it is, 0 if none, and from when on it may be sent */
+    bool held;
+    uint32_t trial_generation;
+    BkMs trial_at;
     bool model_missing;     /* at the last try, no engine held its model */
     bool queued;            /* in the queue now */
     bool was_queued;        /* was in the queue since the last attempt */
--- a/src/front/peer_gossip.c
+++ b/src/front/peer_gossip.c
@@ -4,6 +4,7 @@
 
 #include "bk/base/log.h"
 #include "planner.h"
+#include "quarantine.h"
 #include "sync.h"
 
 enum {
@@ -159,6 +160,8 @@
         BkRoster_ChooseTargets(&peers->roster, peers->round, now, targets);
     for (int i = 0; i < count; i++) {
         FrPeers_Send(peers, (const FrPeer *)targets[i], BKP_GOSSIP, &gossip);
+        FrQuarantine_SendVerdicts(peers->front->quarantine,
+                                  (const FrPeer *)targets[i], now);
     }
 }
 
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -10,6 +10,7 @@
 #include "admission.h"
 #include "origins.h"
 #include "planner.h"
+#include "quarantine.h"
 #include "sync.h"
 
 enum {
@@ -451,10 +452,37 @@
     }
 }
 
+static void
+handle_crash(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrQuarantine_HandleCrash(peers->front->quarantine, message, BkClock_Now());
+}
+
+static void
+handle_well(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrQuarantine_HandleWell(peers->front->quarantine, message, BkClock_Now());
+}
+
+static void
+handle_verdicts(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrQuarantine_HandleVerdicts(peers->front->quarantine, message,
+                                BkClock_Now());
+}
+
 static const BkDatagramProc procs[] = {
     {BKP_ASK, "ask", (xdrproc_t)xdr_bkp_ask, sizeof(bkp_ask), handle_ask},
     {BKP_CHANGES, "changes", (xdrproc_t)xdr_bkp_changes, sizeof(bkp_changes),
      handle_changes},
+    {BKP_CRASH, "crash", (xdrproc_t)xdr_bkp_crash, sizeof(bkp_crash),
+     handle_crash},
     {BKP_DEMANDS, "demands", (xdrproc_t)xdr_bkp_demands, sizeof(bkp_demands),
      handle_demands},
     {BKP_GRANT, "grant", (xdrproc_t)xdr_bkp_grant, sizeof(bkp_grant),
@@ -473,6 +501,9 @@
      handle_reports},
     {BKP_LOAD_UPDATE, "told", (xdrproc_t)xdr_bkp_load_update,
      sizeof(bkp_load_update), handle_load_update},
+    {BKP_VERDICTS, "verdicts", (xdrproc_t)xdr_bkp_verdicts,
+     sizeof(bkp_verdicts), handle_verdicts},
+    {BKP_WELL, "well", (xdrproc_t)xdr_bkp_well, sizeof(bkp_well), handle_well},
     {BKP_ADAPTER_REQUEST, "wish", (xdrproc_t)xdr_bkp_adapter_request,
      sizeof(bkp_adapter_request), handle_adapter_request},
 };
@@ -506,6 +537,7 @@
     forget_silent_planner(peers, now);
     FrMembers_Step(peers, now);
     FrFanout_Step(peers->front->sync, now);
+    FrQuarantine_Step(peers->front->quarantine, now);
     BkTimer_Start(peers->timer, ROUND_INTERVAL);
 }
 
--- /dev/null
+++ b/src/front/quarantine.c
@@ -0,0 +1,448 @@
+#include "quarantine.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bk/base/log.h"
+#include "request.h"
+
+enum {
+    /* ms between the claim of a trial and its request: several round trips, in
+       which another daemon's claim may come */
+    CLAIM_WAIT = 60,
+    MIN_RETRY_AFTER = 500 /* ms */
+};
+
+static const char refusal_reason[] = "such requests crash upstreams";
+
+int
+FrQuarantine_ListTraits(const FrRequest *request, BkTrait *out)
+{
+    int count = 0;
+
+    for (int i = 0; i < request->part_count; i++) {
+        out[count++] = (BkTrait){request->parts[i], request->query.service,
+                                 BK_TRAIT_PART};
+    }
+    return count;
+}
+
+static void
+log_dropped(FrQuarantine *quarantine)
+{
+    int64_t dropped = quarantine->tally.dropped + quarantine->verdicts.dropped;
+
+    if (dropped > quarantine->dropped_logged) {
+        BkLog_Event(BK_LOG_WARNING, "quarantine", NULL, "no room for traits",
+                    "s:I", "count",
+                    (json_int_t)(dropped - quarantine->dropped_logged));
+        quarantine->dropped_logged = dropped;
+    }
+}
+
+static void
+log_verdict(const BkVerdict *verdict, const char *event, const char *source,
+            BkMs now)
+{
+    char id[20];
+    char service[12];
+
+    snprintf(id, sizeof(id), "%llx", (unsigned long long)verdict->trait.id);
+    snprintf(service, sizeof(service), "%08x", verdict->trait.service);
+    BkLog_Event(
+        BK_LOG_NOTICE, "quarantine", NULL, event,
+        "s:s, s:s, s:s, s:s, s:i, s:i, s:I, s:I", "kind",
+        BkTrait_KindName(verdict->trait.kind), "trait", id, "service", service,
+        "source", source, "generation", (int)verdict->generation, "trials",
+        verdict->trials, "for_ms",
+        (json_int_t)(verdict->lifted ? 0 : BkVerdict_Until(verdict) - now),
+        "refused", (json_int_t)verdict->refused);
+}
+
+/* "i-1,i-2"; one that is no longer known is named by its key. */
+static BkBuf
+list_upstreams(const FrFront *front, const BkTallyRow *row)
+{
+    BkBuf text = BkBuf_Make(0);
+
+    for (int i = 0; i < row->count; i++) {
+        uint32_t key = row->crashes[i].crash.upstream;
+        const BkUp *up = BkFleet_FindByKey(&front->fleet, key);
+        BkBuf_Printf(&text, i == 0 ? "" : ",");
+        if (up != NULL) {
+            BkBuf_Printf(&text, "%s", up->id);
+        }
+        else {
+            BkBuf_Printf(&text, "#%08x", key);
+        }
+    }
+    return text;
+}
+
+static void
+log_evidence(const FrFront *front, const BkTallyRow *row, BkMs now)
+{
+    BkBuf upstreams = list_upstreams(front, row);
+    char id[20];
+
+    snprintf(id, sizeof(id), "%llx", (unsigned long long)row->trait.id);
+    BkLog_Event(BK_LOG_NOTICE, "quarantine", NULL, "evidence",
+                "s:s, s:s, s:s, s:i, s:I, s:I", "kind",
+                BkTrait_KindName(row->trait.kind), "trait", id, "crashed",
+                BkBuf_C(&upstreams), "depth", row->depth, "first_ms",
+                (json_int_t)(now - row->crashes[0].crash.at), "last_ms",
+                (json_int_t)(now - row->crashes[row->count - 1].crash.at));
+    BkBuf_Destroy(&upstreams);
+}
+
+static bool
+has_trait(const FrRequest *request, const BkTrait *trait)
+{
+    BkTrait traits[FR_MAX_TRAITS];
+    int count = FrQuarantine_ListTraits(request, traits);
+
+    for (int i = 0; i < count; i++) {
+        if (BkTrait_Equal(&traits[i], trait)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Whether the request is the trial of the verdict's present term. */
+static bool
+is_trial(const FrQuarantine *quarantine, const FrRequest *request,
+         const BkVerdict *verdict)
+{
+    return request->trial_generation == verdict->generation &&
+           verdict->claimant ==
+               BkStr_NameHash(BkStr_FromC(quarantine->front->conf.name));
+}
+
+static void
+refuse(FrQuarantine *quarantine, FrRequest *request, BkVerdict *verdict,
+       BkMs now)
+{
+    BkMs retry_after = BkVerdict_Until(verdict) - now;
+
+    verdict->refused++;
+    BkCounter_Add(quarantine->refused, 1);
+    FrRequest_GiveUp(request, refusal_reason,
+                     retry_after < MIN_RETRY_AFTER ? MIN_RETRY_AFTER
+                                                   : retry_after);
+}
+
+/* Ends the requests that a new verdict bars, also those that were sent and
+   have got no response yet: an upstream may drop such a request before it
+   crashes of it. */
+static void
+refuse_barred(FrQuarantine *quarantine, BkVerdict *verdict, BkMs now)
+{
+    FrRequest *next;
+
+    for (FrRequest *request = quarantine->front->requests; request != NULL;
+         request = next) {
+        next = request->next;
+        if (request->stage != FR_ENDED && request->output_at == 0 &&
+            !is_trial(quarantine, request, verdict) &&
+            has_trait(request, &verdict->trait)) {
+            refuse(quarantine, request, verdict, now);
+        }
+    }
+}
+
+/* Dispatches the requests that wait for a decision. */
+static void
+dispatch_held(FrQuarantine *quarantine)
+{
+    FrRequest *next;
+
+    for (FrRequest *request = quarantine->front->requests; request != NULL;
+         request = next) {
+        next = request->next;
+        if (request->held && request->stage == FR_WAITING) {
+            request->held = false;
+            FrRequest_Dispatch(request);
+        }
+    }
+}
+
+/* Starts the timer for the next decision, or the end of a claim's wait. */
+static void
+arm_timer(FrQuarantine *quarantine, BkMs now)
+{
+    BkMs next = BkTally_NextDecision(&quarantine->tally);
+
+    for (const FrRequest *request = quarantine->front->requests;
+         request != NULL; request = request->next) {
+        if (request->held && request->trial_at > now &&
+            (next == 0 || request->trial_at < next)) {
+            next = request->trial_at;
+        }
+    }
+    if (next != 0) {
+        BkTimer_Start(quarantine->timer, next > now ? next - now : 0);
+    }
+}
+
+static void
+convict(FrQuarantine *quarantine, const BkTallyRow *row, BkMs now)
+{
+    const BkVerdict *verdict = BkVerdicts_Convict(
+        &quarantine->verdicts, &row->trait, row->crashes[0].sent_at, now);
+
+    log_dropped(quarantine);
+    if (verdict == NULL) {
+        return; /* another daemon was faster */
+    }
+    BkCounter_Add(quarantine->convicted, 1);
+    BkCounter_Set(quarantine->active, quarantine->verdicts.active);
+    log_evidence(quarantine->front, row, now);
+    log_verdict(verdict, "verdict", "own tally", now);
+    if (row->own) {
+        FrQuarantine_SpreadVerdict(quarantine, verdict, now);
+        FrQuarantineRows_Write(quarantine, &row->trait);
+    }
+    refuse_barred(quarantine,
+                  BkVerdicts_Find(&quarantine->verdicts, &row->trait), now);
+}
+
+static void
+on_timer(void *arg)
+{
+    FrQuarantine *quarantine = arg;
+    BkMs now = BkClock_Now();
+    BkTallyRow row;
+
+    while (BkTally_TakeConvicted(&quarantine->tally, now, &row)) {
+        convict(quarantine, &row, now);
+    }
+    dispatch_held(quarantine);
+    arm_timer(quarantine, now);
+}
+
+/* Claims the trial for a request, which waits for other claims. */
+static void
+claim(FrQuarantine *quarantine, FrRequest *request, const BkTrait *trait,
+      BkMs now)
+{
+    uint32_t own_key =
+        BkStr_NameHash(BkStr_FromC(quarantine->front->conf.name));
+    const BkVerdict *verdict =
+        BkVerdicts_Claim(&quarantine->verdicts, trait, own_key, now);
+
+    request->trial_generation = verdict->generation;
+    request->trial_at = now + CLAIM_WAIT;
+    BkCounter_Add(quarantine->trials, 1);
+    log_verdict(verdict, "trial", request->id, now);
+    FrQuarantine_SpreadVerdict(quarantine, verdict, now);
+    FrQuarantineRows_Write(quarantine, trait);
+}
+
+static FrQuarantineState
+hold(FrQuarantine *quarantine, FrRequest *request, BkMs now)
+{
+    FrQueue_Remove(request);
+    request->held = true;
+    arm_timer(quarantine, now);
+    return FR_QUARANTINE_HELD;
+}
+
+/* Decides for one trait; HELD is left to the caller to carry out. */
+static FrQuarantineState
+check_trait(FrQuarantine *quarantine, FrRequest *request, const BkTrait *trait,
+            BkMs now)
+{
+    BkVerdict *verdict = BkVerdicts_Find(&quarantine->verdicts, trait);
+
+    switch (BkVerdicts_Check(&quarantine->verdicts, trait, now)) {
+    case BK_VERDICT_NONE:
+        return BkTally_IsHeld(&quarantine->tally, trait, now)
+                   ? FR_QUARANTINE_HELD
+                   : FR_QUARANTINE_FREE;
+    case BK_VERDICT_TRIAL_DUE:
+        if (request->run_count > 0) {
+            break; /* it ran before the verdict */
+        }
+        claim(quarantine, request, trait, now);
+        return FR_QUARANTINE_HELD;
+    case BK_VERDICT_BARRED:
+        if (is_trial(quarantine, request, verdict) &&
+            request->run_count == 0) {
+            return now < request->trial_at ? FR_QUARANTINE_HELD
+                                           : FR_QUARANTINE_FREE;
+        }
+        break;
+    }
+    refuse(quarantine, request, verdict, now);
+    return FR_QUARANTINE_REFUSED;
+}
+
+FrQuarantineState
+FrQuarantine_Check(FrQuarantine *quarantine, FrRequest *request, BkMs now)
+{
+    BkTrait traits[FR_MAX_TRAITS];
+    FrQuarantineState state = FR_QUARANTINE_FREE;
+
+    if (quarantine->verdicts.active == 0 && quarantine->tally.count == 0) {
+        return FR_QUARANTINE_FREE;
+    }
+    int count = FrQuarantine_ListTraits(request, traits);
+    for (int i = 0; i < count; i++) {
+        switch (check_trait(quarantine, request, &traits[i], now)) {
+        case FR_QUARANTINE_REFUSED:
+            return FR_QUARANTINE_REFUSED;
+        case FR_QUARANTINE_HELD:
+            state = FR_QUARANTINE_HELD;
+            break;
+        case FR_QUARANTINE_FREE:
+            break;
+        }
+    }
+    return state == FR_QUARANTINE_HELD ? hold(quarantine, request, now)
+                                       : state;
+}
+
+void
+FrQuarantine_NoteWell(FrQuarantine *quarantine, FrRequest *request, BkMs now)
+{
+    BkTrait traits[FR_MAX_TRAITS];
+    int count = FrQuarantine_ListTraits(request, traits);
+
+    for (int i = 0; i < count; i++) {
+        BkWell_Note(&quarantine->well, &traits[i], request->sent_at);
+        if (BkTally_IsContradicted(&quarantine->tally, &traits[i],
+                                   request->sent_at)) {
+            FrQuarantine_Object(quarantine, &traits[i], request->sent_at);
+        }
+        const BkVerdict *verdict =
+            BkVerdicts_Find(&quarantine->verdicts, &traits[i]);
+        if (verdict == NULL || verdict->lifted ||
+            request->sent_at <= verdict->evidence_since) {
+            continue;
+        }
+        verdict = BkVerdicts_Lift(&quarantine->verdicts, &traits[i], now);
+        BkCounter_Add(quarantine->lifted, 1);
+        BkCounter_Set(quarantine->active, quarantine->verdicts.active);
+        log_verdict(verdict, "verdict lifted", request->id, now);
+        FrQuarantine_SpreadVerdict(quarantine, verdict, now);
+        FrQuarantineRows_Write(quarantine, &traits[i]);
+    }
+}
+
+/* Whether one of the suspects of a crash is barred, which explains it. */
+static bool
+is_explained(FrQuarantine *quarantine, const BkSuspect *suspects, int count,
+             BkMs now)
+{
+    for (int i = 0; i < count; i++) {
+        if (BkVerdicts_Check(&quarantine->verdicts, &suspects[i].trait, now) !=
+            BK_VERDICT_NONE) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+FrQuarantine_CountCrash(FrQuarantine *quarantine, const BkCrash *crash,
+                        const BkSuspect *suspects, int count, bool own,
+                        BkMs now)
+{
+    if (is_explained(quarantine, suspects, count, now)) {
+        return;
+    }
+    for (int i = 0; i < count; i++) {
+        const BkTrait *trait = &suspects[i].trait;
+        BkMs well_sent_at = BkWell_LastSent(&quarantine->well, trait);
+        BkTally_NoteCrash(&quarantine->tally, crash, &suspects[i], own, now);
+        if (BkTally_IsContradicted(&quarantine->tally, trait, well_sent_at)) {
+            FrQuarantine_Object(quarantine, trait, well_sent_at);
+        }
+    }
+    log_dropped(quarantine);
+    arm_timer(quarantine, now);
+}
+
+void
+FrQuarantine_ApplyWell(FrQuarantine *quarantine, const BkTrait *trait,
+                       BkMs sent_at)
+{
+    bool was_held = BkTally_IsHeld(&quarantine->tally, trait, BkClock_Now());
+
+    BkTally_NoteWell(&quarantine->tally, trait, sent_at);
+    if (was_held) {
+        dispatch_held(quarantine);
+    }
+}
+
+void
+FrQuarantine_ApplyVerdict(FrQuarantine *quarantine, const BkVerdict *told,
+                          const char *source, BkMs now)
+{
+    if (!BkVerdicts_Merge(&quarantine->verdicts, told, now)) {
+        log_dropped(quarantine);
+        return;
+    }
+    BkVerdict *verdict = BkVerdicts_Find(&quarantine->verdicts, &told->trait);
+    BkCounter_Set(quarantine->active, quarantine->verdicts.active);
+    log_verdict(verdict, verdict->lifted ? "verdict lifted" : "verdict",
+                source, now);
+    if (!verdict->lifted) {
+        refuse_barred(quarantine, verdict, now);
+    }
+    dispatch_held(quarantine);
+}
+
+void
+FrQuarantine_Step(FrQuarantine *quarantine, BkMs now)
+{
+    BkTally_Expire(&quarantine->tally, now);
+    BkVerdicts_Expire(&quarantine->verdicts, now);
+    BkCounter_Set(quarantine->active, quarantine->verdicts.active);
+    FrQuarantineRows_Step(quarantine, now);
+}
+
+FrQuarantine *
+FrQuarantine_Create(FrFront *front)
+{
+    FrQuarantine *quarantine = BkMem_New(1, sizeof(*quarantine));
+
+    quarantine->front = front;
+    quarantine->well = BkWell_Make();
+    quarantine->tally = BkTally_Make();
+    quarantine->timer = BkTimer_Create(front->loop, on_timer, quarantine);
+    quarantine->objection_timer =
+        BkTimer_Create(front->loop, FrQuarantine_SendObjections, quarantine);
+    quarantine->crashes =
+        BkCounter_Get("bk_front_upstream_crashes_total", NULL,
+                      "processes of upstreams that ended under requests");
+    quarantine->convicted =
+        BkCounter_Get("bk_front_quarantine_verdicts_total", NULL,
+                      "traits that this daemon found to crash upstreams");
+    quarantine->lifted =
+        BkCounter_Get("bk_front_quarantine_lifted_total", NULL,
+                      "verdicts lifted by a run here that went well");
+    quarantine->trials = BkCounter_Get("bk_front_quarantine_trials_total",
+                                       NULL, "trials claimed");
+    quarantine->refused =
+        BkCounter_Get("bk_front_quarantine_refused_total", NULL,
+                      "requests refused for a trait that crashes upstreams");
+    quarantine->active = BkCounter_Get("bk_front_quarantine_active", NULL,
+                                       "traits whose requests are refused");
+    return quarantine;
+}
+
+void
+FrQuarantine_Destroy(FrQuarantine *quarantine)
+{
+    if (quarantine == NULL) {
+        return;
+    }
+    FrBreaks_Destroy(quarantine);
+    BkTimer_Destroy(quarantine->timer);
+    BkTimer_Destroy(quarantine->objection_timer);
+    BkWell_Destroy(&quarantine->well);
+    BkTally_Destroy(&quarantine->tally);
+    free(quarantine);
+}
--- /dev/null
+++ b/src/front/quarantine.h
@@ -0,0 +1,136 @@
+/*
+ * quarantine - keeps requests away from upstreams that would crash of them
+ *
+ * bk/quarantine decides; breaks.c finds out that an upstream's process ended
+ * under requests, quarantine_peers.c tells the other daemons, and
+ * quarantine_rows.c keeps verdicts in the store, for the case that all daemons
+ * die.
+ */
+#ifndef BK_FRONT_QUARANTINE_H
+#define BK_FRONT_QUARANTINE_H
+
+#include "bk/quarantine/tally.h"
+#include "bk/quarantine/verdict.h"
+#include "bk/quarantine/well.h"
+#include "peers.h"
+
+enum {
+    FR_MAX_TRAITS = BK_MAX_PROMPT_PARTS, /* of one request */
+    /* ms from the first byte of a response's body, after which its upstream
+       is taken not to crash of the request */
+    FR_WELL_OUTPUT = 250
+};
+
+/* Attempts at one upstream that broke off in the same moment. */
+typedef struct FrBreak FrBreak;
+
+struct FrQuarantine {
+    FrFront *front;
+    BkWell well;
+    BkTally tally;
+    BkVerdicts verdicts;
+    int64_t dropped_logged; /* of the tally and of the verdicts */
+    FrBreak *breaks;
+    BkTimer *timer; /* the next decision, or the end of a claim's wait */
+    /* runs that went well and that other daemons are to be told of, after a
+       random delay in which one of them may tell them first */
+    bkp_well_run objections[BKP_MAX_WELL_RUNS];
+    BkMs objection_sent_at[BKP_MAX_WELL_RUNS]; /* when they were sent */
+    int objection_count;
+    BkTimer *objection_timer;
+    /* the table of the store (quarantine_rows.c) */
+    bool rows_read;
+    BkMs next_call_at;
+    bool call_active;
+    BkTrait unwritten[BK_VERDICTS_MAX]; /* rows to be written */
+    int unwritten_count;
+    BkTrait writing; /* the one of the active call */
+    BkCounter *crashes;
+    BkCounter *convicted;
+    BkCounter *lifted;
+    BkCounter *trials;
+    BkCounter *refused;
+    BkCounter *active;
+};
+
+typedef enum FrQuarantineState {
+    FR_QUARANTINE_FREE,   /* the request may be sent */
+    FR_QUARANTINE_HELD,   /* it waits for a decision, and is dispatched then */
+    FR_QUARANTINE_REFUSED /* it was refused and has ended */
+} FrQuarantineState;
+
+FrQuarantine *FrQuarantine_Create(FrFront *front);
+void FrQuarantine_Destroy(FrQuarantine *quarantine);
+
+/* Decides whether the request may be sent, before each attempt. */
+FrQuarantineState FrQuarantine_Check(FrQuarantine *quarantine,
+                                     FrRequest *request, BkMs now);
+
+/* The request's attempt has written enough, or ended well, so that the
+ * upstream did not crash of it. */
+void FrQuarantine_NoteWell(FrQuarantine *quarantine, FrRequest *request,
+                           BkMs now);
+
+/* Forgets what is old, and reads and writes the store's table when that is
+ * due. */
+void FrQuarantine_Step(FrQuarantine *quarantine, BkMs now);
+
+/* Lists the request's traits in out, which has room for FR_MAX_TRAITS, and
+ * returns how many. */
+int FrQuarantine_ListTraits(const FrRequest *request, BkTrait *out);
+
+/* A crash, reported by this daemon (own) or another one. */
+void FrQuarantine_CountCrash(FrQuarantine *quarantine, const BkCrash *crash,
+                             const BkSuspect *suspects, int count, bool own,
+                             BkMs now);
+
+/* Another daemon tells of a run that went well. */
+void FrQuarantine_ApplyWell(FrQuarantine *quarantine, const BkTrait *trait,
+                            BkMs sent_at);
+
+/* A verdict of another daemon, or of the store's table (source). */
+void FrQuarantine_ApplyVerdict(FrQuarantine *quarantine, const BkVerdict *told,
+                               const char *source, BkMs now);
+
+/* breaks.c */
+
+/* The request's attempt broke off, and it may have crashed its upstream. Must
+ * be called while the request still has its upstream. */
+void FrBreaks_Note(FrQuarantine *quarantine, const FrRequest *request,
+                   BkMs now);
+void FrBreaks_Destroy(FrQuarantine *quarantine);
+
+/* quarantine_peers.c */
+
+/* Tells all daemons of a crash and of the suspects of this daemon. */
+void FrQuarantine_SpreadCrash(FrQuarantine *quarantine, const BkCrash *crash,
+                              const BkSuspect *suspects, int count, BkMs now);
+
+/* Tells all daemons that the trait ran well in a request that was sent at
+ * sent_at, after a delay, unless another one tells them first. */
+void FrQuarantine_Object(FrQuarantine *quarantine, const BkTrait *trait,
+                         BkMs sent_at);
+
+/* Tells all daemons of a verdict that this daemon has changed. */
+void FrQuarantine_SpreadVerdict(FrQuarantine *quarantine,
+                                const BkVerdict *verdict, BkMs now);
+
+/* Sends the verdicts to one daemon, if there are any. */
+void FrQuarantine_SendVerdicts(FrQuarantine *quarantine, const FrPeer *peer,
+                               BkMs now);
+
+void FrQuarantine_HandleCrash(FrQuarantine *quarantine,
+                              const bkp_crash *message, BkMs now);
+void FrQuarantine_HandleWell(FrQuarantine *quarantine, const bkp_well *message,
+                             BkMs now);
+void FrQuarantine_HandleVerdicts(FrQuarantine *quarantine,
+                                 const bkp_verdicts *message, BkMs now);
+void FrQuarantine_SendObjections(void *arg);
+
+/* quarantine_rows.c */
+
+/* The verdict is to be written to the store, or removed if it was lifted. */
+void FrQuarantineRows_Write(FrQuarantine *quarantine, const BkTrait *trait);
+void FrQuarantineRows_Step(FrQuarantine *quarantine, BkMs now);
+
+#endif
--- /dev/null
+++ b/src/front/quarantine_rows.c
@@ -0,0 +1,198 @@
+#include "quarantine.h"
+
+#include <stdio.h>
+
+#include "bk/base/log.h"
+#include "sync.h"
+
+/* The table has a row for each verdict, "GENERATION TRIALS"; its key is
+   "SERVICE-KIND-ID" in hexadecimal. Daemons that run tell each other their
+   verdicts, so it is read only by one that starts and hears no daemon that has
+   run for longer. */
+
+enum {
+    READ_DELAY = 700,    /* ms after the start; other daemons are heard then */
+    OLDER_BY = 5000,     /* ms that another daemon has run for longer */
+    RETRY_DELAY = 1000,  /* ms after a call that failed */
+    CALL_TIMEOUT = 1000, /* ms */
+    KEY_BYTES = 40,
+    HEX = 16
+};
+
+static const char table[] = "quarantine";
+
+static void
+make_key(const BkTrait *trait, char *key)
+{
+    snprintf(key, KEY_BYTES, "%08x-%02x-%016llx", trait->service,
+             (unsigned)trait->kind, (unsigned long long)trait->id);
+}
+
+static bool
+parse_hex(BkStr text, uint64_t *out)
+{
+    *out = 0;
+    for (size_t i = 0; i < text.len; i++) {
+        char digit = text.ptr[i];
+        if (digit >= '0' && digit <= '9') {
+            *out = *out * HEX + (uint64_t)(digit - '0');
+        }
+        else if (digit >= 'a' && digit <= 'f') {
+            *out = *out * HEX + (uint64_t)(digit - 'a') + 10;
+        }
+        else {
+            return false;
+        }
+    }
+    return text.len > 0 && text.len <= HEX;
+}
+
+/* Returns false if the row was not written by a daemon that this one can
+   understand. */
+static bool
+parse_row(const BkStoreRow *row, BkVerdict *out)
+{
+    BkStr key = row->key;
+    BkStr value = row->value;
+    BkStr service_text = BkStr_Split(&key, '-');
+    BkStr kind_text = BkStr_Split(&key, '-');
+    BkStr generation_text = BkStr_Split(&value, ' ');
+    uint64_t service;
+    uint64_t kind;
+    uint64_t id;
+    uint64_t generation;
+    uint64_t trials;
+
+    if (!parse_hex(service_text, &service) || !parse_hex(kind_text, &kind) ||
+        !parse_hex(key, &id) || kind >= BK_TRAIT_KINDS ||
+        BkStr_ToU64(generation_text, &generation) != BK_OK ||
+        BkStr_ToU64(value, &trials) != BK_OK || generation > UINT32_MAX ||
+        trials > INT32_MAX) {
+        return false;
+    }
+    *out = (BkVerdict){.trait = {id, (uint32_t)service, (BkTraitKind)kind},
+                       .generation = (uint32_t)generation,
+                       .trials = (int)trials};
+    return true;
+}
+
+static void
+on_rows(const BkStoreReply *reply, void *arg)
+{
+    FrQuarantine *quarantine = arg;
+    BkMs now = BkClock_Now();
+
+    quarantine->call_active = false;
+    if (reply->status != BK_OK) {
+        quarantine->next_call_at = now + RETRY_DELAY;
+        return;
+    }
+    quarantine->rows_read = true;
+    for (int i = 0; i < reply->count; i++) {
+        BkVerdict verdict;
+        if (!parse_row(&reply->rows[i], &verdict)) {
+            BkLog_Event(BK_LOG_WARNING, "quarantine", NULL,
+                        "row not understood, ignored", "s:I", "version",
+                        (json_int_t)reply->rows[i].version);
+            continue;
+        }
+        verdict.since = now; /* nobody knows how much of the term is left */
+        verdict.evidence_since = now;
+        FrQuarantine_ApplyVerdict(quarantine, &verdict, "the store", now);
+    }
+}
+
+static void
+on_written(const BkStoreReply *reply, void *arg)
+{
+    FrQuarantine *quarantine = arg;
+
+    quarantine->call_active = false;
+    if (reply->status != BK_OK) {
+        quarantine->next_call_at = BkClock_Now() + RETRY_DELAY;
+        FrQuarantineRows_Write(quarantine, &quarantine->writing);
+    }
+}
+
+static void
+write_next(FrQuarantine *quarantine)
+{
+    const BkTrait *trait = &quarantine->writing;
+    BkBuf value = BkBuf_Make(0);
+    char key[KEY_BYTES];
+
+    quarantine->writing = quarantine->unwritten[--quarantine->unwritten_count];
+    const BkVerdict *verdict = BkVerdicts_Find(&quarantine->verdicts, trait);
+    make_key(trait, key);
+    BkStoreOp op = {.key = key};
+    if (verdict == NULL || verdict->lifted) {
+        op.remove = true;
+    }
+    else {
+        BkBuf_Printf(&value, "%u %d", verdict->generation, verdict->trials);
+        op.put = true;
+        op.value = BkBuf_Str(&value);
+    }
+    quarantine->call_active = true;
+    BkStore_Commit(quarantine->front->store, table, &op, 1, CALL_TIMEOUT,
+                   on_written, quarantine);
+    BkBuf_Destroy(&value);
+}
+
+void
+FrQuarantineRows_Write(FrQuarantine *quarantine, const BkTrait *trait)
+{
+    for (int i = 0; i < quarantine->unwritten_count; i++) {
+        if (BkTrait_Equal(&quarantine->unwritten[i], trait)) {
+            return;
+        }
+    }
+    if (quarantine->unwritten_count == BK_VERDICTS_MAX) {
+        BkLog_Event(BK_LOG_WARNING, "quarantine", NULL,
+                    "verdict not written to the store", "s:i", "waiting",
+                    quarantine->unwritten_count);
+        return;
+    }
+    quarantine->unwritten[quarantine->unwritten_count++] = *trait;
+}
+
+/* Whether a daemon runs that would tell this one its verdicts. */
+static bool
+knows_older_peer(const FrFront *front, BkMs now)
+{
+    const FrPeers *peers = front->peers;
+
+    for (int i = 0; i < peers->count; i++) {
+        const FrPeer *peer = peers->list[i];
+        if (peer->started_at != 0 &&
+            peer->started_at + OLDER_BY < front->wall_started_at &&
+            FrPeers_IsAlive(peers, peer, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void
+FrQuarantineRows_Step(FrQuarantine *quarantine, BkMs now)
+{
+    const FrFront *front = quarantine->front;
+
+    if (quarantine->call_active || now < quarantine->next_call_at) {
+        return;
+    }
+    if (!quarantine->rows_read && now - front->started_at >= READ_DELAY) {
+        if (front->conf.first_start || knows_older_peer(front, now)) {
+            quarantine->rows_read = true;
+            return;
+        }
+        quarantine->call_active = true;
+        BkStore_ReadRows(front->store, table, NULL,
+                         (BkStoreTimeouts){.total = CALL_TIMEOUT}, on_rows,
+                         quarantine);
+        return;
+    }
+    if (quarantine->unwritten_count > 0) {
+        write_next(quarantine);
+    }
+}
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -1,4 +1,5 @@
 #include "admission.h"
+#include "quarantine.h"
 #include "request.h"
 #include "signals.h"
 
@@ -198,11 +199,28 @@
     return request->kind == BK_ROUTE_STREAM && request->response_code < 300;
 }
 
+/* An upstream that goes on writing did not crash of the request. */
+static void
+note_output(FrRequest *request)
+{
+    BkMs now = BkClock_Now();
+
+    if (request->output_at == 0) {
+        request->output_at = now;
+    }
+    if (!request->noted_well && request->response_code < 300 &&
+        now - request->output_at >= FR_WELL_OUTPUT) {
+        request->noted_well = true;
+        FrQuarantine_NoteWell(request->front->quarantine, request, now);
+    }
+}
+
 void
 FrRequest_OnBody(FrRequest *request, BkStr data)
 {
     note_prompt_processed(request);
     record_pause(request);
+    note_output(request);
     BkBuf_Append(&request->pending_body, data);
     if (is_event_stream(request)) {
         FrStream_ForwardEvents(request);
@@ -226,6 +244,16 @@
     }
 }
 
+static void
+note_break(const FrRequest *request)
+{
+    BkMs now = BkClock_Now();
+
+    if (request->output_at == 0 || now - request->output_at < FR_WELL_OUTPUT) {
+        FrBreaks_Note(request->front->quarantine, request, now);
+    }
+}
+
 void
 FrRequest_OnExchangeEnd(FrRequest *request, FrExchangeResult result)
 {
@@ -235,6 +263,7 @@
     switch (result) {
     case FR_EXCHANGE_DONE:
         if (is_event_stream(request) && FrStream_IsBrokenOff(request)) {
+            note_break(request);
             FrRequest_FailAttempt(request, true, true,
                                   "the stream ended inside an event");
             return;
@@ -245,6 +274,7 @@
                               "no connection to the upstream");
         return;
     case FR_EXCHANGE_NO_RESPONSE:
+        note_break(request);
         FrRequest_FailAttempt(request, true, true,
                               "the upstream closed without an answer");
         return;
@@ -253,6 +283,7 @@
                               "what the upstream sent is no answer");
         return;
     case FR_EXCHANGE_TRUNCATED:
+        note_break(request);
         FrRequest_FailAttempt(request, true, true,
                               "the upstream's answer broke off");
         return;
@@ -260,6 +291,8 @@
     FrRequest_ClearUpFailures(request->up);
     if (request->response_code < 300) {
         request->why = "answered by the upstream";
+        FrQuarantine_NoteWell(request->front->quarantine, request,
+                              BkClock_Now());
     }
     FrCallerConn *caller_conn = FrRequest_DetachCaller(request);
     bool responding = request->stage == FR_RESPONDING;
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -441,3 +441,167 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_trait (XDR *xdrs, bkp_trait *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->id))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_suspect (XDR *xdrs, bkp_suspect *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_trait (xdrs, &objp->trait))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->request))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->depth))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent_age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_crash (XDR *xdrs, bkp_crash *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_spread (xdrs, &objp->spread))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->up))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_at))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->suspects.suspects_val, (u_int *) &objp->suspects.suspects_len, BKP_MAX_SUSPECTS,
+		sizeof (bkp_suspect), (xdrproc_t) xdr_bkp_suspect))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_well_run (XDR *xdrs, bkp_well_run *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_trait (xdrs, &objp->trait))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->sent_age))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_well (XDR *xdrs, bkp_well *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_spread (xdrs, &objp->spread))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_WELL_RUNS,
+		sizeof (bkp_well_run), (xdrproc_t) xdr_bkp_well_run))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_verdict (XDR *xdrs, bkp_verdict *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_bkp_trait (xdrs, &objp->trait))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lifted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evidence_age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->claimant))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->generation);
+			IXDR_PUT_LONG(buf, objp->lifted);
+			IXDR_PUT_U_LONG(buf, objp->trials);
+			IXDR_PUT_U_LONG(buf, objp->age);
+			IXDR_PUT_U_LONG(buf, objp->evidence_age);
+			IXDR_PUT_U_LONG(buf, objp->claimant);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_bkp_trait (xdrs, &objp->trait))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->generation))
+				 return FALSE;
+			 if (!xdr_int (xdrs, &objp->lifted))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->trials))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->evidence_age))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->claimant))
+				 return FALSE;
+		} else {
+			objp->generation = IXDR_GET_U_LONG(buf);
+			objp->lifted = IXDR_GET_LONG(buf);
+			objp->trials = IXDR_GET_U_LONG(buf);
+			objp->age = IXDR_GET_U_LONG(buf);
+			objp->evidence_age = IXDR_GET_U_LONG(buf);
+			objp->claimant = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_bkp_trait (xdrs, &objp->trait))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->generation))
+		 return FALSE;
+	 if (!xdr_int (xdrs, &objp->lifted))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->trials))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->evidence_age))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->claimant))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_verdicts (XDR *xdrs, bkp_verdicts *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_spread (xdrs, &objp->spread))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_VERDICTS,
+		sizeof (bkp_verdict), (xdrproc_t) xdr_bkp_verdict))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -18,6 +18,9 @@
 const BKP_MAX_ROW_BYTES = 1400;   /* bytes of a row's value */
 const BKP_MAX_FORWARD = 12;
 const BKP_MAX_ORIGINS = 64;
+const BKP_MAX_SUSPECTS = 24;
+const BKP_MAX_WELL_RUNS = 24;
+const BKP_MAX_VERDICTS = 16;
 
 /* load that the sender causes at an upstream */
 struct bkp_load {
@@ -267,6 +270,59 @@
                                      of streams */
 };
 
+/* what requests have in common that may crash upstreams (bk/quarantine) */
+struct bkp_trait {
+    unsigned int service;
+    unsigned int kind;            /* BkTraitKind */
+    unsigned hyper id;
+};
+
+/* a trait of a request that ran on an upstream when that crashed */
+struct bkp_suspect {
+    bkp_trait trait;
+    unsigned hyper request;       /* hash of what its caller repeats */
+    unsigned int depth;           /* of a part in its prompt */
+    unsigned int sent_age;        /* ms since it was sent there */
+};
+
+/* an upstream's process ended; sent to all daemons by those that had suspects
+   there */
+struct bkp_crash {
+    bkp_spread spread;
+    unsigned int up;
+    unsigned hyper started_at;    /* of the process, in ms since 1970 */
+    unsigned int age;             /* ms since then */
+    bkp_suspect suspects<BKP_MAX_SUSPECTS>;
+};
+
+/* a request with a suspected trait ran well */
+struct bkp_well_run {
+    bkp_trait trait;
+    unsigned int sent_age;        /* ms since it was sent to its upstream */
+};
+
+struct bkp_well {
+    bkp_spread spread;
+    bkp_well_run rows<BKP_MAX_WELL_RUNS>;
+};
+
+/* a trait whose requests are refused, or no longer are */
+struct bkp_verdict {
+    bkp_trait trait;
+    unsigned int generation;
+    int lifted;
+    unsigned int trials;
+    unsigned int age;             /* ms since the term began */
+    unsigned int evidence_age;    /* ms since the request of the first crash was
+                                     sent */
+    unsigned int claimant;        /* key of the daemon that claimed the trial */
+};
+
+struct bkp_verdicts {
+    bkp_spread spread;            /* empty if sent to one daemon */
+    bkp_verdict rows<BKP_MAX_VERDICTS>;
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_GOSSIP(bkp_gossip) = 1;
@@ -282,5 +338,8 @@
         void BKP_ORIGINS(bkp_origins) = 12;
         void BKP_ORIGIN_ASK(bkp_origin_ask) = 13;
         void BKP_ORIGIN_ANSWER(bkp_origin_answer) = 14;
+        void BKP_CRASH(bkp_crash) = 15;
+        void BKP_WELL(bkp_well) = 16;
+        void BKP_VERDICTS(bkp_verdicts) = 17;
     } = 2;
 } = 0x20426b02;
--- /dev/null
+++ b/tests/unit/test_quarantine.c
@@ -0,0 +1,235 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bk/base/rng.h"
+#include "bk/quarantine/tally.h"
+#include "bk/quarantine/verdict.h"
+#include "bk/quarantine/well.h"
+#include "script.h"
+
+typedef struct State {
+    BkTally tally;
+    BkVerdicts verdicts;
+} State;
+
+/* "p7": part 7 of service 1; "q7": of service 2 */
+static BkTrait
+parse_trait(const char *word)
+{
+    return (BkTrait){(uint64_t)atoll(word + 1), word[0] == 'p' ? 1 : 2,
+                     BK_TRAIT_PART};
+}
+
+/* at MS crash UPSTREAM TRAIT request N sent MS [depth N] */
+static void
+run_crash(State *state, BkMs now, char **words, int count, BkBuf *out)
+{
+    BkCrash crash = {(uint32_t)atoi(words[3]), 0, now};
+    BkSuspect suspect = {parse_trait(words[4]), (uint64_t)atoll(words[6]),
+                         count > 9 ? atoi(words[10]) : 0, atoll(words[8])};
+    const BkTallyRow *row =
+        BkTally_NoteCrash(&state->tally, &crash, &suspect, false, now);
+
+    BkBuf_Printf(out, "  %d crashes%s\n", row->count,
+                 row->decide_at == 0 ? "" : ", held");
+}
+
+static void
+print_verdict(const BkVerdict *verdict, BkBuf *out)
+{
+    if (verdict == NULL) {
+        BkBuf_Printf(out, "  nothing changed\n");
+        return;
+    }
+    BkBuf_Printf(out, "  generation %u, %s, %d trials, until %lld\n",
+                 verdict->generation, verdict->lifted ? "lifted" : "barred",
+                 verdict->trials, (long long)BkVerdict_Until(verdict));
+}
+
+static void
+run_decide(State *state, BkMs now, BkBuf *out)
+{
+    BkTallyRow row;
+
+    while (BkTally_TakeConvicted(&state->tally, now, &row)) {
+        BkBuf_Printf(out, "  convicted %d-%d\n", (int)row.trait.service,
+                     (int)row.trait.id);
+        print_verdict(BkVerdicts_Convict(&state->verdicts, &row.trait,
+                                         row.crashes[0].sent_at, now),
+                      out);
+    }
+    BkBuf_Printf(out, "  next decision %lld, %d rows\n",
+                 (long long)BkTally_NextDecision(&state->tally),
+                 state->tally.count);
+}
+
+/* at MS told TRAIT GENERATION lifted|barred CLAIMANT */
+static void
+run_told(State *state, BkMs now, char **words, BkBuf *out)
+{
+    BkVerdict told = {.trait = parse_trait(words[3]),
+                      .generation = (uint32_t)atoi(words[4]),
+                      .lifted = strcmp(words[5], "lifted") == 0,
+                      .claimant = (uint32_t)atoi(words[6]),
+                      .since = now};
+    bool changed = BkVerdicts_Merge(&state->verdicts, &told, now);
+
+    BkBuf_Printf(out, "  %s\n", changed ? "taken over" : "ignored");
+    print_verdict(BkVerdicts_Find(&state->verdicts, &told.trait), out);
+}
+
+static void
+run_check(State *state, BkMs now, const BkTrait *trait, BkBuf *out)
+{
+    static const char *const states[] = {[BK_VERDICT_NONE] = "free",
+                                         [BK_VERDICT_BARRED] = "barred",
+                                         [BK_VERDICT_TRIAL_DUE] = "trial due"};
+
+    BkBuf_Printf(out, "  %s%s\n",
+                 states[BkVerdicts_Check(&state->verdicts, trait, now)],
+                 BkTally_IsHeld(&state->tally, trait, now) ? ", held" : "");
+}
+
+static void
+run_quarantine(char **words, int count, BkBuf *out, void *arg)
+{
+    State *state = arg;
+    BkMs now = atoll(words[1]);
+    const char *what = words[2];
+    BkTrait trait = count > 3 ? parse_trait(words[3]) : (BkTrait){0};
+
+    if (strcmp(what, "crash") == 0) {
+        run_crash(state, now, words, count, out);
+    }
+    else if (strcmp(what, "well") == 0) {
+        BkMs sent_at = atoll(words[5]);
+        BkBuf_Printf(out, "  %s\n",
+                     BkTally_IsContradicted(&state->tally, &trait, sent_at)
+                         ? "to be told"
+                         : "not told");
+        BkTally_NoteWell(&state->tally, &trait, sent_at);
+    }
+    else if (strcmp(what, "decide") == 0) {
+        run_decide(state, now, out);
+    }
+    else if (strcmp(what, "check") == 0) {
+        run_check(state, now, &trait, out);
+    }
+    else if (strcmp(what, "claim") == 0) {
+        print_verdict(BkVerdicts_Claim(&state->verdicts, &trait,
+                                       (uint32_t)atoi(words[4]), now),
+                      out);
+    }
+    else if (strcmp(what, "lift") == 0) {
+        print_verdict(BkVerdicts_Lift(&state->verdicts, &trait, now), out);
+    }
+    else if (strcmp(what, "told") == 0) {
+        run_told(state, now, words, out);
+    }
+    else if (strcmp(what, "expire") == 0) {
+        BkTally_Expire(&state->tally, now);
+        BkVerdicts_Expire(&state->verdicts, now);
+        BkBuf_Printf(out, "  %d rows, %d verdicts, %d active\n",
+                     state->tally.count, state->verdicts.count,
+                     state->verdicts.active);
+    }
+    else {
+        ck_abort_msg("unknown command %s", what);
+    }
+}
+
+START_TEST(test_quarantine)
+{
+    State state = {.tally = BkTally_Make()};
+
+    BkScript_Run("quarantine", run_quarantine, &state);
+    BkTally_Destroy(&state.tally);
+}
+END_TEST
+
+/* The tables stay within their sizes, and the trait with the most crashes is
+   not pushed out by many with one. */
+START_TEST(test_full_tables)
+{
+    BkTally tally = BkTally_Make();
+    BkVerdicts verdicts = {0};
+    BkTrait bad = {1000000, 1, BK_TRAIT_PART};
+
+    for (int i = 0; i < 3 * BK_TALLY_MAX_ROWS; i++) {
+        BkCrash crash = {(uint32_t)i, 0, i * 200};
+        BkSuspect other = {
+            {(uint64_t)i, 1, BK_TRAIT_PART}, (uint64_t)i, 1, crash.at};
+        BkSuspect suspect = {bad, (uint64_t)i, 1, crash.at};
+        BkTally_NoteCrash(&tally, &crash, &other, false, crash.at);
+        if (i % 100 == 0) {
+            BkTally_NoteCrash(&tally, &crash, &suspect, false, crash.at);
+        }
+        BkVerdicts_Convict(&verdicts, &other.trait, 0, crash.at);
+    }
+    ck_assert_int_eq(tally.count, BK_TALLY_MAX_ROWS);
+    ck_assert_int_gt(tally.dropped, 0);
+    ck_assert_int_eq(verdicts.count, BK_VERDICTS_MAX);
+    ck_assert_int_gt(verdicts.dropped, 0);
+    ck_assert(BkTally_IsHeld(&tally, &bad, 0));
+    BkTally_Destroy(&tally);
+}
+END_TEST
+
+/* Daemons that hear of the same changes in any order end with the same
+   rows. */
+START_TEST(test_merge_order)
+{
+    enum {
+        CHANGES = 6
+    };
+    BkTrait trait = {7, 1, BK_TRAIT_PART};
+    const BkVerdict changes[CHANGES] = {
+        {.trait = trait, .generation = 1, .since = 100},
+        {.trait = trait, .generation = 2, .since = 300, .claimant = 9},
+        {.trait = trait, .generation = 2, .since = 301, .claimant = 4},
+        {.trait = trait, .generation = 3, .since = 400, .claimant = 5},
+        {.trait = trait, .generation = 3, .since = 401, .lifted = true},
+        {.trait = trait, .generation = 2, .since = 302, .lifted = true}};
+
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        BkRng rng = BkRng_Make(seed);
+        BkVerdicts verdicts = {0};
+        for (int i = 0; i < 40; i++) {
+            BkVerdicts_Merge(&verdicts, &changes[BkRng_Below(&rng, CHANGES)],
+                             500);
+        }
+        for (int i = 0; i < CHANGES; i++) {
+            BkVerdicts_Merge(&verdicts, &changes[i], 500);
+        }
+        const BkVerdict *verdict = BkVerdicts_Find(&verdicts, &trait);
+        ck_assert_uint_eq(verdict->generation, 3);
+        ck_assert(verdict->lifted);
+        ck_assert_int_eq(verdicts.active, 0);
+    }
+}
+END_TEST
+
+START_TEST(test_well)
+{
+    BkWell well = BkWell_Make();
+    BkTrait trait = {7, 1, BK_TRAIT_PART};
+
+    ck_assert_int_eq(BkWell_LastSent(&well, &trait), -1);
+    BkWell_Note(&well, &trait, 500);
+    BkWell_Note(&well, &trait, 400);
+    ck_assert_int_eq(BkWell_LastSent(&well, &trait), 500);
+    trait.service = 2;
+    ck_assert_int_eq(BkWell_LastSent(&well, &trait), -1);
+    BkWell_Destroy(&well);
+}
+END_TEST
+
+int
+main(void)
+{
+    const TTest *const tests[] = {test_quarantine, test_full_tables,
+                                  test_merge_order, test_well};
+
+    return BkUnit_Main("quarantine", tests, 4);
+}
