--- a/include/bk/front/conf.h
+++ b/include/bk/front/conf.h
@@ -48,6 +48,9 @@
     /* plain service: an upstream with this many requests for each of its
        slots is full */
     double max_load_ratio;
+    /* how long requests with a trait that crashes upstreams are refused before
+       one is tried: see bk/quarantine/verdict.h */
+    BkMs quarantine_term;
     /* how long this daemon remembers at which software version a stream
        began; longer than a stream may last */
     BkMs stream_memory;
--- a/include/bk/quarantine/verdict.h
+++ b/include/bk/quarantine/verdict.h
@@ -36,6 +36,7 @@
 } BkVerdict;
 
 typedef struct BkVerdicts {
+    BkMs first_term; /* ms until the first trial */
     BkVerdict rows[BK_VERDICTS_MAX];
     int count;
     int active;      /* rows that are not lifted */
@@ -55,7 +56,7 @@
                                 BkMs now);
 
 /* When the verdict's term ends. */
-BkMs BkVerdict_Until(const BkVerdict *verdict);
+BkMs BkVerdicts_Until(const BkVerdicts *verdicts, const BkVerdict *verdict);
 
 /* Begins a verdict; NULL if the trait is barred already. */
 const BkVerdict *BkVerdicts_Convict(BkVerdicts *verdicts, const BkTrait *trait,
--- a/src/front/quarantine.c
+++ b/src/front/quarantine.c
@@ -41,8 +41,8 @@
 }
 
 static void
-log_verdict(const BkVerdict *verdict, const char *event, const char *source,
-            BkMs now)
+log_verdict(const FrQuarantine *quarantine, const BkVerdict *verdict,
+            const char *event, const char *source, BkMs now)
 {
     char id[20];
     char service[12];
@@ -55,7 +55,10 @@
         BkTrait_KindName(verdict->trait.kind), "trait", id, "service", service,
         "source", source, "generation", (int)verdict->generation, "trials",
         verdict->trials, "for_ms",
-        (json_int_t)(verdict->lifted ? 0 : BkVerdict_Until(verdict) - now),
+        (json_int_t)(verdict->lifted
+                         ? 0
+                         : BkVerdicts_Until(&quarantine->verdicts, verdict) -
+                               now),
         "refused", (json_int_t)verdict->refused);
 }
 
@@ -123,7 +126,7 @@
 refuse(FrQuarantine *quarantine, FrRequest *request, BkVerdict *verdict,
        BkMs now)
 {
-    BkMs retry_after = BkVerdict_Until(verdict) - now;
+    BkMs retry_after = BkVerdicts_Until(&quarantine->verdicts, verdict) - now;
 
     verdict->refused++;
     BkCounter_Add(quarantine->refused, 1);
@@ -198,7 +201,7 @@
     BkCounter_Add(quarantine->convicted, 1);
     BkCounter_Set(quarantine->active, quarantine->verdicts.active);
     log_evidence(quarantine->front, row, now);
-    log_verdict(verdict, "verdict", "own tally", now);
+    log_verdict(quarantine, verdict, "verdict", "own tally", now);
     if (row->own) {
         FrQuarantine_SpreadVerdict(quarantine, verdict, now);
         FrQuarantineRows_Write(quarantine, &row->trait);
@@ -234,7 +237,7 @@
     request->trial_generation = verdict->generation;
     request->trial_at = now + CLAIM_WAIT;
     BkCounter_Add(quarantine->trials, 1);
-    log_verdict(verdict, "trial", request->id, now);
+    log_verdict(quarantine, verdict, "trial", request->id, now);
     FrQuarantine_SpreadVerdict(quarantine, verdict, now);
     FrQuarantineRows_Write(quarantine, trait);
 }
@@ -324,7 +327,7 @@
         verdict = BkVerdicts_Lift(&quarantine->verdicts, &traits[i], now);
         BkCounter_Add(quarantine->lifted, 1);
         BkCounter_Set(quarantine->active, quarantine->verdicts.active);
-        log_verdict(verdict, "verdict lifted", request->id, now);
+        log_verdict(quarantine, verdict, "verdict lifted", request->id, now);
         FrQuarantine_SpreadVerdict(quarantine, verdict, now);
         FrQuarantineRows_Write(quarantine, &traits[i]);
     }
@@ -386,8 +389,8 @@
     }
     BkVerdict *verdict = BkVerdicts_Find(&quarantine->verdicts, &told->trait);
     BkCounter_Set(quarantine->active, quarantine->verdicts.active);
-    log_verdict(verdict, verdict->lifted ? "verdict lifted" : "verdict",
-                source, now);
+    log_verdict(quarantine, verdict,
+                verdict->lifted ? "verdict lifted" : "verdict", source, now);
     if (!verdict->lifted) {
         refuse_barred(quarantine, verdict, now);
     }
@@ -409,6 +412,7 @@
     FrQuarantine *quarantine = BkMem_New(1, sizeof(*quarantine));
 
     quarantine->front = front;
+    quarantine->verdicts.first_term = front->conf.quarantine_term;
     quarantine->well = BkWell_Make();
     quarantine->tally = BkTally_Make();
     quarantine->timer = BkTimer_Create(front->loop, on_timer, quarantine);
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -9,9 +9,6 @@
     UNCLAIMED_MEMORY = 600 * 1000 /* ms after the end of a term */
 };
 
-/* ms until the first trial */
-static const BkMs first_terms[BK_TRAIT_KINDS] = {[BK_TRAIT_PART] = 20000};
-
 BkVerdict *
 BkVerdicts_Find(BkVerdicts *verdicts, const BkTrait *trait)
 {
@@ -33,9 +30,9 @@
 }
 
 BkMs
-BkVerdict_Until(const BkVerdict *verdict)
+BkVerdicts_Until(const BkVerdicts *verdicts, const BkVerdict *verdict)
 {
-    BkMs term = first_terms[verdict->trait.kind];
+    BkMs term = verdicts->first_term;
 
     for (int i = 0; i < verdict->trials && term < MAX_TERM; i++) {
         term *= TERM_FACTOR;
@@ -52,8 +49,8 @@
     if (verdict == NULL || verdict->lifted) {
         return BK_VERDICT_NONE;
     }
-    return now < BkVerdict_Until(verdict) ? BK_VERDICT_BARRED
-                                          : BK_VERDICT_TRIAL_DUE;
+    return now < BkVerdicts_Until(verdicts, verdict) ? BK_VERDICT_BARRED
+                                                     : BK_VERDICT_TRIAL_DUE;
 }
 
 /* NULL if there is no room. */
@@ -140,16 +137,17 @@
 }
 
 static BkMs
-forget_at(const BkVerdict *verdict)
+forget_at(const BkVerdicts *verdicts, const BkVerdict *verdict)
 {
-    return verdict->lifted ? verdict->since + LIFTED_MEMORY
-                           : BkVerdict_Until(verdict) + UNCLAIMED_MEMORY;
+    return verdict->lifted
+               ? verdict->since + LIFTED_MEMORY
+               : BkVerdicts_Until(verdicts, verdict) + UNCLAIMED_MEMORY;
 }
 
 bool
 BkVerdicts_Merge(BkVerdicts *verdicts, const BkVerdict *told, BkMs now)
 {
-    if (now >= forget_at(told)) {
+    if (now >= forget_at(verdicts, told)) {
         return false;
     }
     BkVerdict *own = find_or_add(verdicts, &told->trait);
@@ -168,7 +166,7 @@
 BkVerdicts_Expire(BkVerdicts *verdicts, BkMs now)
 {
     for (int i = verdicts->count - 1; i >= 0; i--) {
-        if (now >= forget_at(&verdicts->rows[i])) {
+        if (now >= forget_at(verdicts, &verdicts->rows[i])) {
             verdicts->rows[i] = verdicts->rows[--verdicts->count];
         }
     }
--- a/tests/proof/case_front_crashes.py
+++ b/tests/proof/case_front_crashes.py
@@ -6,7 +6,7 @@
 import threading
 import time
 
-from basics import case, check
+from basics import case, check, wait
 from case_front import chunk, stream_bytes, stream_head
 from case_front_limit import hear_each_other
 from case_front_state import ENGINE
@@ -35,6 +35,7 @@
         self.store, self.is_bad, self.service = store, is_bad, service
         self.models, self.slots = models, slots
         self.lock, self.crashes, self.arrivals = threading.Lock(), [], []
+        self.crashes_by_bad, self.all = [], []
         self.started, self.bad_until = 0, float("inf")
         for _ in range(count):
             self.start()
@@ -47,6 +48,8 @@
             self.store, name, self.service, self.slots,
             models=None if self.models is None else
             {x: set() for x in self.models})
+        with self.lock:
+            self.all.append(upstream)
         upstream.handlers = [
             lambda req, sock: self.serve(upstream, req, sock)]
 
@@ -55,11 +58,11 @@
         bad = self.is_bad(req)
         if bad:
             with self.lock:
-                self.arrivals.append(now)
+                self.arrivals.append((now, req.fields["x-front"]))
         time.sleep(0.02)
         sock.sendall(stream_head(req))
         if bad and now < self.bad_until:
-            self.crash(upstream)
+            self.crash(upstream, self.crashes_by_bad)
             return False
         for number in range(1, EVENTS + 1):
             sock.sendall(chunk(stream_bytes(number, number)))
@@ -67,45 +70,103 @@
         sock.sendall(b"0\r\n\r\n")
         return True
 
-    def crash(self, upstream):
+    def crash(self, upstream, crashes=None):
         with self.lock:
             if upstream.ended:
                 return
-            self.crashes.append(time.monotonic())
+            upstream.ended = True
+            for record in (self.crashes, crashes):
+                if record is not None:
+                    record.append(time.monotonic())
         upstream.crash()
         threading.Timer(BACK_S, self.start).start()
         threading.Timer(ROW_S, self.store.put, (
             "servers", upstream.id, None)).start()
 
 
-    def arrivals_after(self, moment):
-        return len([x for x in self.arrivals if x > moment])
+    def crash_some(self, rng, count):
+        """Some of them crash in the same moment for a reason of their own."""
+        with self.lock:
+            alive = [x for x in self.all if not x.ended]
+        for upstream in rng.sample(alive, min(count, len(alive))):
+            self.crash(upstream)
+
+    def arrivals_after(self, moment, in_touch=lambda front, at: True):
+        return len([at for at, front in self.arrivals
+                    if at > moment and in_touch(front, at)])
+
+
+class Fleet:
+    """Daemons that are started, killed and frozen while callers use them."""
+
+    def __init__(self, world, store, count, **settings):
+        self.world, self.store, self.settings = world, store, settings
+        self.fronts, self.disturbed = [], []  # (from, to, name)
+        for _ in range(count):
+            self.add()
+
+    def add(self, n=None):
+        """Starts a daemon, or one in the place of a dead one."""
+        name = "front-%d" % (len(self.fronts) if n is None else n)
+        front = Front(self.world, self.store, name, **self.settings)
+        self.note(name, time.monotonic())
+        if n is None:
+            self.fronts.append(front)
+        else:
+            self.fronts[n] = front
+        return front
+
+    def note(self, name, since):
+        self.disturbed.append((since, time.monotonic(), name))
+
+    def kill(self, n):
+        self.note(self.fronts[n].name, time.monotonic())
+        self.fronts[n].kill()
+
+    def freeze(self, n, for_s):
+        since = time.monotonic()
+        self.fronts[n].freeze()
+        time.sleep(for_s)
+        self.fronts[n].thaw()
+        self.note(self.fronts[n].name, since)
+
+    def in_touch(self, front, at):
+        return not any(name == front and since <= at <= to + CONTACT_S
+                       for since, to, name in self.disturbed)
+
+    def events(self, name):
+        return [x for front in self.fronts for x in front.events(name)]
 
 
 class Load:
     """Callers at all daemons that ask all the time, in threads."""
 
-    def __init__(self, fronts, make_request, pause_s):
-        self.lock, self.sent = threading.Lock(), []  # (time, whether served)
-        self.stopped = threading.Event()
+    def __init__(self, fleet, make_request, pause_s, each=1):
+        self.lock, self.sent = threading.Lock(), []  # (time, name, status)
+        self.fleet, self.stopped = fleet, threading.Event()
         self.threads = [threading.Thread(
-            target=self.run, args=(front, make_request, pause_s, n))
-            for n, front in enumerate(fronts)]
+            target=self.run, args=(n % len(fleet.fronts), make_request,
+                                   pause_s, n))
+            for n in range(each * len(fleet.fronts))]
         for thread in self.threads:
             thread.start()
 
-    def run(self, front, make_request, pause_s, n):
-        rng = random.Random(n)
-        caller = Caller(front)
+    def run(self, n, make_request, pause_s, seed):
+        rng, caller = random.Random(seed), None
         self.stopped.wait(rng.uniform(0, pause_s))
         while not self.stopped.is_set():
-            at = time.monotonic()
-            answer = make_request(caller, rng)
-            if not answer[3]:
-                caller.close()
-                caller = Caller(front)
+            at, front, code = time.monotonic(), self.fleet.fronts[n], 0
+            try:
+                if caller is None or caller.front is not front:
+                    caller = Caller(front)
+                    caller.front = front
+                code, _, _, whole = make_request(caller, rng)
+                if not whole:
+                    caller, code = None, 0
+            except (OSError, ValueError):
+                caller = None
             with self.lock:
-                self.sent.append((at, answer[0] == 200 and answer[3]))
+                self.sent.append((at, front.name, code))
             self.stopped.wait(pause_s)
 
     def stop(self):
@@ -114,9 +175,15 @@
             thread.join()
 
     def served_after(self, moment):
-        served = [ok for at, ok in self.sent if at > moment]
-        check(len(served) >= 20, "only %d requests", len(served))
-        return sum(served) / len(served)
+        """The share served of those sent to daemons in touch."""
+        codes = [code for at, name, code in self.sent
+                 if at > moment and self.fleet.in_touch(name, at)]
+        check(len(codes) >= 20, "only %d requests", len(codes))
+        return codes.count(200) / len(codes)
+
+    def count(self, code, since, until):
+        return len([1 for at, _, x in self.sent
+                    if x == code and since <= at < until])
 
 
 def ask_with_parts(parts):
@@ -124,7 +191,7 @@
     def ask(caller, rng):
         own = rng.getrandbits(48)
         return caller.ask("/llm/", b"prompt %x" % own, X_Model="m1",
-                          X_Token_Count="200,10",
+                          X_Front=caller.front.name, X_Token_Count="200,10",
                           X_Prompt_Prefix="%s,%x:50" % (parts(rng), own))
     return ask
 
@@ -141,24 +208,25 @@
     return BAD_PART in req.fields.get("x-prompt-prefix", "")
 
 
-def start(world, fronts, is_bad, **keys):
+def start(world, fronts, is_bad, count=UPSTREAMS, **settings):
     store = Store()
     configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
               ENGINE)
-    upstreams = Upstreams(store, is_bad, models=["m1"], **keys)
-    daemons = [Front(world, store, "front-%d" % n) for n in range(fronts)]
-    for daemon in daemons:
-        daemon.await_ready()
-    hear_each_other(daemons)
-    return upstreams, daemons
+    upstreams = Upstreams(store, is_bad, models=["m1"], count=count)
+    fleet = Fleet(world, store, fronts, **settings)
+    for front in fleet.fronts:
+        front.await_ready()
+    hear_each_other(fleet.fronts)
+    time.sleep(CONTACT_S)  # until the start is no disturbance any more
+    return upstreams, fleet
 
 
-def check_bad_part(upstreams, sound):
+def check_bad_part(upstreams, fleet, sound):
     """Judges what came after the crashes that are allowed."""
-    crashes = upstreams.crashes
+    crashes = upstreams.crashes_by_bad
     check(crashes, "no upstream crashed")
     last = crashes[min(len(crashes), PART_CRASHES) - 1]
-    late = upstreams.arrivals_after(last + CONTACT_S) \
+    late = upstreams.arrivals_after(last + CONTACT_S, fleet.in_touch) \
         if len(crashes) >= PART_CRASHES else 0
     check(late <= TOLERATED, "%d requests with the part reached upstreams "
           "later; %d crashed in all", late, len(crashes))
@@ -171,11 +239,102 @@
     """A part of prompts crashes each upstream that begins to answer a request
     with it. Requests with it come at all daemons, each with other parts of its
     own; sound ones have the same first part, caller and upstreams."""
-    upstreams, fronts = start(world, FRONTS, holds_bad_part)
-    sound = Load(fronts * 3, ask_with_parts(sound_parts), 0.1)
+    upstreams, fleet = start(world, FRONTS, holds_bad_part)
+    each = 3 if FRONTS <= 10 else 1
+    sound = Load(fleet, ask_with_parts(sound_parts),
+                 max(0.1, each * FRONTS / 80), each)
     time.sleep(1)
-    bad = Load(fronts, ask_with_parts(bad_parts), 0.15 * FRONTS)
+    bad = Load(fleet, ask_with_parts(bad_parts), 0.15 * FRONTS)
     time.sleep(10)
     bad.stop()
     sound.stop()
-    check_bad_part(upstreams, sound)
+    check_bad_part(upstreams, fleet, sound)
+
+
+@case
+def crashes_while_daemons_come_and_go(world):
+    """The same while daemons are frozen, killed, replaced and added, and while
+    upstreams also crash for reasons of their own, one by one and several at
+    once."""
+    rng = random.Random(world.seed)
+    upstreams, fleet = start(world, 5, holds_bad_part, 2 * UPSTREAMS)
+    sound = Load(fleet, ask_with_parts(sound_parts), 0.1, each=3)
+    bad = Load(fleet, ask_with_parts(bad_parts), 0.5)
+    moves = [lambda: fleet.freeze(rng.randrange(2), 1.5),
+             lambda: (fleet.kill(2), time.sleep(0.3), fleet.add(2)),
+             lambda: upstreams.crash_some(rng, 4),
+             lambda: (fleet.kill(3), fleet.kill(4), time.sleep(0.5),
+                      fleet.add(3), fleet.add(4)),
+             fleet.add,
+             lambda: upstreams.crash_some(rng, 1)]
+    rng.shuffle(moves)
+    for move in moves:
+        time.sleep(rng.uniform(0.2, 1))
+        move()
+    time.sleep(2 * CONTACT_S + 3)
+    bad.stop()
+    sound.stop()
+    check_bad_part(upstreams, fleet, sound)
+
+
+@case
+def crashes_for_other_reasons(world):
+    """Upstreams crash, one by one and several at once, and no request is at
+    fault: none is refused for it."""
+    rng = random.Random(world.seed)
+    upstreams, fleet = start(world, FRONTS, lambda req: False)
+    sound = Load(fleet, ask_with_parts(sound_parts), 0.05, each=3)
+    for n in range(24):
+        time.sleep(rng.uniform(0.05, 0.6))
+        upstreams.crash_some(rng, 4 if n % 6 == 0 else 1)
+    sound.stop()
+    check(len(upstreams.crashes) >= 20, "only %d crashes",
+          len(upstreams.crashes))
+    check(not fleet.events("verdict"), "%s", fleet.events("evidence"))
+
+
+@case
+def crashes_end(world):
+    """Once requests with the part no longer crash upstreams, a trial shows it:
+    all daemons serve them again, after a term."""
+    upstreams, fleet = start(world, FRONTS, holds_bad_part, term="3s")
+    sound = Load(fleet, ask_with_parts(sound_parts), 0.1, each=3)
+    bad = Load(fleet, ask_with_parts(bad_parts), 0.1)
+    wait("a verdict", lambda: fleet.events("verdict"))
+    upstreams.bad_until = time.monotonic()
+    until = upstreams.bad_until + 5
+    time.sleep(9)
+    bad.stop()
+    sound.stop()
+    check(bad.count(503, upstreams.bad_until + 0.5, until) >= 20,
+          "hardly any was refused")
+    served = bad.served_after(until)
+    check(served == 1, "%.2f of them are served again", served)
+    trials = [x for x in fleet.events("trial")]
+    check(len(trials) == 1, "%d trials", len(trials))
+
+
+@case
+def crashes_known_after_death_of_all_daemons(world):
+    """All daemons die; those that follow know what crashes upstreams."""
+    upstreams, fleet = start(world, FRONTS, holds_bad_part)
+    bad = Load(fleet, ask_with_parts(bad_parts), 0.1)
+    wait("a verdict", lambda: fleet.events("verdict"))
+    wait("its row", lambda: any(
+        table == "quarantine" for table, _ in list(fleet.store.rows)))
+    bad.stop()
+    for n in range(FRONTS):
+        fleet.kill(n)
+    crashes = len(upstreams.crashes)
+    for n in range(FRONTS):
+        fleet.add(n)
+    for front in fleet.fronts:
+        wait("ready", front.ready)
+    wait("the row is read", lambda: all(any(
+        x["source"] == "the store" for x in front.events("verdict"))
+        for front in fleet.fronts))
+    bad = Load(fleet, ask_with_parts(bad_parts), 0.1)
+    time.sleep(2)
+    bad.stop()
+    check(len(upstreams.crashes) == crashes, "%d more crashed",
+          len(upstreams.crashes) - crashes)
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -537,7 +537,7 @@
     """A bk-front with settings from the platform's template."""
 
     def __init__(self, world, store, name="front-1", seeds=(), log="debug",
-                 **routing):
+                 term=None, **routing):
         listen, ops = ("127.0.0.1:%d" % next_port() for _ in range(2))
         port = next_port()
         settings = platform_settings(
@@ -550,6 +550,8 @@
             file.write(render(settings).replace(
                 "[daemon]", "[daemon]\nlog_level = %s\nlog_lines = 100000"
                 % log))
+            if term:
+                file.write("\n[quarantine]\nterm = %s\n" % term)
             if routing:
                 file.write("\n[routing]\n" + "".join(
                     "%s = %s\n" % pair for pair in routing.items()))
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -36,7 +36,7 @@
 }
 
 static void
-print_verdict(const BkVerdict *verdict, BkBuf *out)
+print_verdict(const State *state, const BkVerdict *verdict, BkBuf *out)
 {
     if (verdict == NULL) {
         BkBuf_Printf(out, "  nothing changed\n");
@@ -44,7 +44,8 @@
     }
     BkBuf_Printf(out, "  generation %u, %s, %d trials, until %lld\n",
                  verdict->generation, verdict->lifted ? "lifted" : "barred",
-                 verdict->trials, (long long)BkVerdict_Until(verdict));
+                 verdict->trials,
+                 (long long)BkVerdicts_Until(&state->verdicts, verdict));
 }
 
 static void
@@ -55,7 +56,8 @@
     while (BkTally_TakeConvicted(&state->tally, now, &row)) {
         BkBuf_Printf(out, "  convicted %d-%d\n", (int)row.trait.service,
                      (int)row.trait.id);
-        print_verdict(BkVerdicts_Convict(&state->verdicts, &row.trait,
+        print_verdict(state,
+                      BkVerdicts_Convict(&state->verdicts, &row.trait,
                                          row.crashes[0].sent_at, now),
                       out);
     }
@@ -76,7 +78,7 @@
     bool changed = BkVerdicts_Merge(&state->verdicts, &told, now);
 
     BkBuf_Printf(out, "  %s\n", changed ? "taken over" : "ignored");
-    print_verdict(BkVerdicts_Find(&state->verdicts, &told.trait), out);
+    print_verdict(state, BkVerdicts_Find(&state->verdicts, &told.trait), out);
 }
 
 static void
@@ -117,12 +119,14 @@
         run_check(state, now, &trait, out);
     }
     else if (strcmp(what, "claim") == 0) {
-        print_verdict(BkVerdicts_Claim(&state->verdicts, &trait,
+        print_verdict(state,
+                      BkVerdicts_Claim(&state->verdicts, &trait,
                                        (uint32_t)atoi(words[4]), now),
                       out);
     }
     else if (strcmp(what, "lift") == 0) {
-        print_verdict(BkVerdicts_Lift(&state->verdicts, &trait, now), out);
+        print_verdict(state, BkVerdicts_Lift(&state->verdicts, &trait, now),
+                      out);
     }
     else if (strcmp(what, "told") == 0) {
         run_told(state, now, words, out);
@@ -141,7 +145,7 @@
 
 START_TEST(test_quarantine)
 {
-    State state = {.tally = BkTally_Make()};
+    State state = {.tally = BkTally_Make(), .verdicts = {.first_term = 20000}};
 
     BkScript_Run("quarantine", run_quarantine, &state);
     BkTally_Destroy(&state.tally);
@@ -153,7 +157,7 @@
 START_TEST(test_full_tables)
 {
     BkTally tally = BkTally_Make();
-    BkVerdicts verdicts = {0};
+    BkVerdicts verdicts = {.first_term = 20000};
     BkTrait bad = {1000000, 1, BK_TRAIT_PART};
 
     for (int i = 0; i < 3 * BK_TALLY_MAX_ROWS; i++) {
@@ -194,7 +198,7 @@
 
     for (uint64_t seed = 1; seed <= 200; seed++) {
         BkRng rng = BkRng_Make(seed);
-        BkVerdicts verdicts = {0};
+        BkVerdicts verdicts = {.first_term = 20000};
         for (int i = 0; i < 40; i++) {
             BkVerdicts_Merge(&verdicts, &changes[BkRng_Below(&rng, CHANGES)],
                              500);
