proof: a request that crashes upstreams and comes again (failing)

Three daemons; sound requests have the same path and caller, some the same body each time. Parts of the stream's prompt are not convicted, as each needs crashes under three requests.

--- a/tests/proof/case_front_crashes.py
+++ b/tests/proof/case_front_crashes.py
@@ -10,7 +10,8 @@
 from case_front import chunk, stream_bytes, stream_head
 from case_front_limit import hear_each_other
 from case_front_state import ENGINE
-from platform_standins import Caller, Front, Replica, Store, configure, route
+from platform_standins import Caller, Front, Replica, Store, configure, \
+    route, sealed
 
 FRONTS = int(os.environ.get("FRONTS", "3"))
 UPSTREAMS = 16
@@ -18,6 +19,9 @@
 ROW_S = 3           # until the store drops the row of one that crashed
 CONTACT_S = 3       # until all daemons must know of the last crash that counts
 PART_CRASHES = 5    # crashes after which a part of prompts must be known
+REQUEST_CRASHES = 3 # the same for one request that comes again
+PLAIN_UPSTREAMS = 3
+RUN_S = 0.05        # of a request at a plain upstream
 TOLERATED = 3       # requests that may still reach upstreams after that
 SERVED = 0.9        # of the requests that hold nothing bad
 EVENTS = 4
@@ -59,9 +63,12 @@
         if bad:
             with self.lock:
                 self.arrivals.append((now, req.fields["x-front"]))
+        crashes = bad and now < self.bad_until
+        if self.models is None:
+            return self.serve_plain(upstream, req, sock, crashes)
         time.sleep(0.02)
         sock.sendall(stream_head(req))
-        if bad and now < self.bad_until:
+        if crashes:
             self.crash(upstream, self.crashes_by_bad)
             return False
         for number in range(1, EVENTS + 1):
@@ -70,6 +77,14 @@
         sock.sendall(b"0\r\n\r\n")
         return True
 
+    def serve_plain(self, upstream, req, sock, crashes):
+        time.sleep(RUN_S)
+        if crashes:
+            self.crash(upstream, self.crashes_by_bad)
+            return False
+        sock.sendall(sealed(req))
+        return True
+
     def crash(self, upstream, crashes=None):
         with self.lock:
             if upstream.ended:
@@ -208,11 +223,15 @@
     return BAD_PART in req.fields.get("x-prompt-prefix", "")
 
 
-def start(world, fronts, is_bad, count=UPSTREAMS, **settings):
+def start(world, fronts, is_bad, count=UPSTREAMS, plain=False, **settings):
     store = Store()
-    configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
-              ENGINE)
-    upstreams = Upstreams(store, is_bad, models=["m1"], count=count)
+    if plain:
+        configure(store, 1, [route("safe", "safe"), route("once", "unsafe")])
+        upstreams = Upstreams(store, is_bad, None, "app", 6, count)
+    else:
+        configure(store, 1, [route("llm", "streaming", service="llm")],
+                  ("llm",), ENGINE)
+        upstreams = Upstreams(store, is_bad, models=["m1"], count=count)
     fleet = Fleet(world, store, fronts, **settings)
     for front in fleet.fronts:
         front.await_ready()
@@ -221,15 +240,16 @@
     return upstreams, fleet
 
 
-def check_bad_part(upstreams, fleet, sound):
+def check_bad(upstreams, fleet, sound, what="requests with the part",
+                   allowed=PART_CRASHES):
     """Judges what came after the crashes that are allowed."""
     crashes = upstreams.crashes_by_bad
     check(crashes, "no upstream crashed")
-    last = crashes[min(len(crashes), PART_CRASHES) - 1]
+    last = crashes[min(len(crashes), allowed) - 1]
     late = upstreams.arrivals_after(last + CONTACT_S, fleet.in_touch) \
-        if len(crashes) >= PART_CRASHES else 0
-    check(late <= TOLERATED, "%d requests with the part reached upstreams "
-          "later; %d crashed in all", late, len(crashes))
+        if len(crashes) >= allowed else 0
+    check(late <= TOLERATED, "%d %s reached upstreams later; %d crashed in "
+          "all", late, what, len(crashes))
     served = sound.served_after(last + 2 * CONTACT_S)
     check(served >= SERVED, "%.2f of the sound requests served", served)
 
@@ -248,7 +268,7 @@
     time.sleep(10)
     bad.stop()
     sound.stop()
-    check_bad_part(upstreams, fleet, sound)
+    check_bad(upstreams, fleet, sound)
 
 
 @case
@@ -274,7 +294,7 @@
     time.sleep(2 * CONTACT_S + 3)
     bad.stop()
     sound.stop()
-    check_bad_part(upstreams, fleet, sound)
+    check_bad(upstreams, fleet, sound)
 
 
 @case
@@ -338,3 +358,66 @@
     bad.stop()
     check(len(upstreams.crashes) == crashes, "%d more crashed",
           len(upstreams.crashes) - crashes)
+
+
+def is_bad_request(req):
+    return req.body == b"bad"
+
+
+def ask_plain(path, bad):
+    """Requests with bodies of their own, and some that are always the same;
+    or the bad one."""
+    def ask(caller, rng):
+        body = b"bad" if bad else rng.choice(
+            (b"same", b"body %x" % rng.getrandbits(48)))
+        return caller.ask(path, body, X_Front=caller.front.name)
+    return ask
+
+
+def ask_same_stream(caller, rng):
+    """The bad request; it shares all parts but its own with sound ones."""
+    return caller.ask("/llm/", b"bad", X_Model="m1", X_Token_Count="200,10",
+                      X_Front=caller.front.name,
+                      X_Prompt_Prefix="%s,c1:50,c0ffee:50" % FIRST_PART)
+
+
+def check_bad_request(upstreams, fleet, ask_bad, ask_sound, bad_pause_s):
+    """The bad request comes again at all daemons; sound ones have its path and
+    caller."""
+    sound = Load(fleet, ask_sound, 0.1, each=2)
+    time.sleep(1)
+    bad = Load(fleet, ask_bad, bad_pause_s * FRONTS)
+    time.sleep(11)
+    bad.stop()
+    sound.stop()
+    check_bad(upstreams, fleet, sound, "repeats of the request",
+              REQUEST_CRASHES)
+
+
+@case
+def crashes_by_one_request(world):
+    """A request of a safe route crashes each upstream that runs it, before a
+    response, and comes again at all daemons."""
+    check_bad_request(*start(world, FRONTS, is_bad_request, PLAIN_UPSTREAMS,
+                             plain=True),
+                      ask_plain("/safe/x", True), ask_plain("/safe/x", False),
+                      0.1)
+
+
+@case
+def crashes_by_one_unsafe_request(world):
+    """The same of a route whose requests are never sent twice."""
+    check_bad_request(*start(world, FRONTS, is_bad_request, PLAIN_UPSTREAMS,
+                             plain=True),
+                      ask_plain("/once/x", True), ask_plain("/once/x", False),
+                      0.1)
+
+
+@case
+def crashes_by_one_stream(world):
+    """The same of a stream; the parts of its prompt are not at fault."""
+    upstreams, fleet = start(world, FRONTS, is_bad_request)
+    check_bad_request(upstreams, fleet, ask_same_stream,
+                      ask_with_parts(sound_parts), 0.2)
+    verdicts = [x for x in fleet.events("verdict") if x["kind"] == "part"]
+    check(not verdicts, "%s", verdicts)
