quarantine: refuse a request that crashes upstreams and comes again

Callers of a plain service saw 502s and 503s: one request ended all three of its upstreams within a quarter of a second, each time that they were back.

Cause: each daemon knows a request only as long as it lasts. The same request, sent again by its caller, was new to the daemon that got it, which sent it to two upstreams in turn.

Change: what a caller repeats (its address, the method, host, path and body) is a trait beside the parts of a prompt. Two crashes, the second after the request was sent again, convict it; the first term is a quarter of that of a part, since a wrong verdict concerns one caller's request. Crashes against a request take nothing from those against parts, nor the other way; a part still needs three different requests.

crashes_end failed once: two daemons claimed a trial in the same moment, and the proof counted the claim that gave way.

--- a/include/bk/quarantine/tally.h
+++ b/include/bk/quarantine/tally.h
@@ -66,9 +66,10 @@
 void BkTally_Destroy(BkTally *tally);
 
 /* Counts a crash against a suspect's trait. own: this daemon reports it.
- * Returns the trait's row, or NULL if there is none. A crash within 100 ms of
- * a counted one is not counted, since one cause that ends several upstreams at
- * once is not a request; nor is a further crash by the same request. */
+ * Returns the trait's row. One cause that ends several upstreams at once is
+ * not a request; so, against a part, a crash within 100 ms of a counted one is
+ * not counted, nor a further one by the same request, and against a request,
+ * only a crash after it was sent again. */
 const BkTallyRow *BkTally_NoteCrash(BkTally *tally, const BkCrash *crash,
                                     const BkSuspect *suspect, bool own,
                                     BkMs now);
--- a/include/bk/quarantine/trait.h
+++ b/include/bk/quarantine/trait.h
@@ -13,11 +13,12 @@
 #include <stdint.h>
 
 typedef enum BkTraitKind {
-    BK_TRAIT_PART /* a part of the prompt that is not the request's own */
+    BK_TRAIT_PART,   /* a part of the prompt that is not the request's own */
+    BK_TRAIT_REQUEST /* what a caller repeats when it sends the request again */
 } BkTraitKind;
 
 enum {
-    BK_TRAIT_KINDS = 1
+    BK_TRAIT_KINDS = 2
 };
 
 typedef struct BkTrait {
--- a/include/bk/quarantine/verdict.h
+++ b/include/bk/quarantine/verdict.h
@@ -36,7 +36,9 @@
 } BkVerdict;
 
 typedef struct BkVerdicts {
-    BkMs first_term; /* ms until the first trial */
+    /* ms until the first trial for a part; a quarter of it for a request, which
+       concerns a single caller */
+    BkMs first_term;
     BkVerdict rows[BK_VERDICTS_MAX];
     int count;
     int active;      /* rows that are not lifted */
--- a/src/front/quarantine.c
+++ b/src/front/quarantine.c
@@ -24,6 +24,8 @@
         out[count++] = (BkTrait){request->parts[i], request->query.service,
                                  BK_TRAIT_PART};
     }
+    out[count++] =
+        (BkTrait){request->digest, request->query.service, BK_TRAIT_REQUEST};
     return count;
 }
 
@@ -236,8 +238,7 @@
 
     request->trial_generation = verdict->generation;
     request->trial_at = now + CLAIM_WAIT;
-    BkCounter_Add(quarantine->trials, 1);
-    log_verdict(quarantine, verdict, "trial", request->id, now);
+    log_verdict(quarantine, verdict, "trial claimed", request->id, now);
     FrQuarantine_SpreadVerdict(quarantine, verdict, now);
     FrQuarantineRows_Write(quarantine, trait);
 }
@@ -251,6 +252,19 @@
     return FR_QUARANTINE_HELD;
 }
 
+/* No other daemon has claimed the trial. It is dispatched again if its upstream
+   does not take it. */
+static void
+note_trial(FrQuarantine *quarantine, FrRequest *request,
+           const BkVerdict *verdict, BkMs now)
+{
+    if (!request->trial_noted) {
+        request->trial_noted = true;
+        BkCounter_Add(quarantine->trials, 1);
+        log_verdict(quarantine, verdict, "trial", request->id, now);
+    }
+}
+
 /* Decides for one trait; HELD is left to the caller to carry out. */
 static FrQuarantineState
 check_trait(FrQuarantine *quarantine, FrRequest *request, const BkTrait *trait,
@@ -270,12 +284,15 @@
         claim(quarantine, request, trait, now);
         return FR_QUARANTINE_HELD;
     case BK_VERDICT_BARRED:
-        if (is_trial(quarantine, request, verdict) &&
-            request->run_count == 0) {
-            return now < request->trial_at ? FR_QUARANTINE_HELD
-                                           : FR_QUARANTINE_FREE;
+        if (!is_trial(quarantine, request, verdict) ||
+            request->run_count > 0) {
+            break;
         }
-        break;
+        if (now < request->trial_at) {
+            return FR_QUARANTINE_HELD;
+        }
+        note_trial(quarantine, request, verdict, now);
+        return FR_QUARANTINE_FREE;
     }
     refuse(quarantine, request, verdict, now);
     return FR_QUARANTINE_REFUSED;
@@ -428,7 +445,7 @@
         BkCounter_Get("bk_front_quarantine_lifted_total", NULL,
                       "verdicts lifted by a run here that went well");
     quarantine->trials = BkCounter_Get("bk_front_quarantine_trials_total",
-                                       NULL, "trials claimed");
+                                       NULL, "requests sent as trials");
     quarantine->refused =
         BkCounter_Get("bk_front_quarantine_refused_total", NULL,
                       "requests refused for a trait that crashes upstreams");
--- a/src/front/quarantine.h
+++ b/src/front/quarantine.h
@@ -15,7 +15,7 @@
 #include "peers.h"
 
 enum {
-    FR_MAX_TRAITS = BK_MAX_PROMPT_PARTS, /* of one request */
+    FR_MAX_TRAITS = BK_MAX_PROMPT_PARTS + 1, /* of one request */
     /* ms from the first byte of a response's body, after which its upstream
        is taken not to crash of the request */
     FR_WELL_OUTPUT = 250
--- a/src/quarantine/tally.c
+++ b/src/quarantine/tally.c
@@ -9,7 +9,8 @@
 };
 
 /* Crashes that convict a trait of the kind. */
-static const int thresholds[BK_TRAIT_KINDS] = {[BK_TRAIT_PART] = 3};
+static const int thresholds[BK_TRAIT_KINDS] = {
+    [BK_TRAIT_PART] = 3, [BK_TRAIT_REQUEST] = 2};
 
 BkTally
 BkTally_Make(void)
@@ -82,16 +83,33 @@
     return a->upstream == b->upstream && a->started_at == b->started_at;
 }
 
+/* Whether one cause may have brought both crashes about, and none of the
+   requests. */
+static bool
+may_be_one_event(const BkTallyCrash *counted, const BkCrash *crash,
+                 const BkSuspect *suspect)
+{
+    BkMs gap = crash->at - counted->crash.at;
+
+    switch (suspect->trait.kind) {
+    case BK_TRAIT_PART:
+        return counted->request == suspect->request ||
+               (gap < MIN_CRASH_GAP && gap > -MIN_CRASH_GAP);
+    case BK_TRAIT_REQUEST:
+        return suspect->sent_at < counted->crash.at &&
+               counted->sent_at < crash->at;
+    }
+    return false;
+}
+
 static bool
 is_counted(const BkTallyRow *row, const BkCrash *crash,
            const BkSuspect *suspect)
 {
     for (int i = 0; i < row->count; i++) {
         const BkTallyCrash *counted = &row->crashes[i];
-        BkMs gap = crash->at - counted->crash.at;
         if (is_same_process(&counted->crash, crash) ||
-            counted->request == suspect->request ||
-            (gap < MIN_CRASH_GAP && gap > -MIN_CRASH_GAP)) {
+            may_be_one_event(counted, crash, suspect)) {
             return true;
         }
     }
--- a/src/quarantine/trait.c
+++ b/src/quarantine/trait.c
@@ -21,6 +21,8 @@
     switch (kind) {
     case BK_TRAIT_PART:
         return "part";
+    case BK_TRAIT_REQUEST:
+        return "request";
     }
     return "unknown";
 }
--- a/src/quarantine/verdict.c
+++ b/src/quarantine/verdict.c
@@ -32,7 +32,9 @@
 BkMs
 BkVerdicts_Until(const BkVerdicts *verdicts, const BkVerdict *verdict)
 {
-    BkMs term = verdicts->first_term;
+    BkMs term = verdict->trait.kind == BK_TRAIT_REQUEST
+                    ? verdicts->first_term / TERM_FACTOR
+                    : verdicts->first_term;
 
     for (int i = 0; i < verdict->trials && term < MAX_TERM; i++) {
         term *= TERM_FACTOR;
--- a/tests/proof/case_front_crashes.py
+++ b/tests/proof/case_front_crashes.py
@@ -387,7 +387,7 @@
     sound = Load(fleet, ask_sound, 0.1, each=2)
     time.sleep(1)
     bad = Load(fleet, ask_bad, bad_pause_s * FRONTS)
-    time.sleep(11)
+    time.sleep(16)
     bad.stop()
     sound.stop()
     check_bad(upstreams, fleet, sound, "repeats of the request",
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -13,12 +13,13 @@
     BkVerdicts verdicts;
 } State;
 
-/* "p7": part 7 of service 1; "q7": of service 2 */
+/* "p7": part 7 of service 1; "q7": of service 2; "r7": request 7 of service
+   1 */
 static BkTrait
 parse_trait(const char *word)
 {
-    return (BkTrait){(uint64_t)atoll(word + 1), word[0] == 'p' ? 1 : 2,
-                     BK_TRAIT_PART};
+    return (BkTrait){(uint64_t)atoll(word + 1), word[0] == 'q' ? 2 : 1,
+                     word[0] == 'r' ? BK_TRAIT_REQUEST : BK_TRAIT_PART};
 }
 
 /* at MS crash UPSTREAM TRAIT request N sent MS [depth N] */
