proof: a request that crashes upstreams and comes from several addresses (failing)

The digest of a request holds its caller's address; the record shows the request at VMs of all three failure domains, while callers reach those of their own, so that it probably comes from an address in each.

--- a/tests/proof/case_front_crashes.py
+++ b/tests/proof/case_front_crashes.py
@@ -156,7 +156,10 @@
 class Load:
     """Callers at all daemons that ask all the time, in threads."""
 
-    def __init__(self, fleet, make_request, pause_s, each=1):
+    def __init__(self, fleet, make_request, pause_s, each=1,
+                 address=lambda n: ""):
+        """address(n): of the callers of the daemon n."""
+        self.address = address
         self.lock, self.sent = threading.Lock(), []  # (time, name, status)
         self.fleet, self.stopped = fleet, threading.Event()
         self.threads = [threading.Thread(
@@ -173,7 +176,7 @@
             at, front, code = time.monotonic(), self.fleet.fronts[n], 0
             try:
                 if caller is None or caller.front is not front:
-                    caller = Caller(front)
+                    caller = Caller(front, self.address(n))
                     caller.front = front
                 code, _, _, whole = make_request(caller, rng)
                 if not whole:
@@ -381,12 +384,13 @@
                       X_Prompt_Prefix="%s,c1:50,c0ffee:50" % FIRST_PART)
 
 
-def check_bad_request(upstreams, fleet, ask_bad, ask_sound, bad_pause_s):
+def check_bad_request(upstreams, fleet, ask_bad, ask_sound, bad_pause_s,
+                      address=lambda n: ""):
     """The bad request comes again at all daemons; sound ones have its path and
     caller."""
     sound = Load(fleet, ask_sound, 0.1, each=2)
     time.sleep(1)
-    bad = Load(fleet, ask_bad, bad_pause_s * FRONTS)
+    bad = Load(fleet, ask_bad, bad_pause_s * FRONTS, address=address)
     time.sleep(16)
     bad.stop()
     sound.stop()
@@ -404,6 +408,16 @@
                       0.1)
 
 
+@case
+def crashes_by_one_request_of_many_addresses(world):
+    """The same, and each time that it comes again it has another address: its
+    caller's connections go through other machines."""
+    check_bad_request(*start(world, 6, is_bad_request, PLAIN_UPSTREAMS,
+                             plain=True),
+                      ask_plain("/safe/x", True), ask_plain("/safe/x", False),
+                      0.1 * 6 / FRONTS, lambda n: "127.0.0.%d" % (n + 2))
+
+
 @case
 def crashes_by_one_unsafe_request(world):
     """The same of a route whose requests are never sent twice."""
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -601,9 +601,10 @@
 class Caller:
     """A caller's connection; reads one answer at a time."""
 
-    def __init__(self, front):
+    def __init__(self, front, source=""):
         host, port = front.addr.split(":")
-        self.sock = socket.create_connection((host, int(port)), timeout=60)
+        self.sock = socket.create_connection((host, int(port)), timeout=60,
+                                             source_address=(source, 0))
         self.buffer = b""
 
     def send(self, data):
