quarantine: know a request again whatever address it comes from

Callers went on getting 502s from one request's crashes: each address that it came from had to convict it anew, with two crashes and trials of its own.

Cause: the digest held the caller's address, which belongs to the machine that the connection comes through.

--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -105,8 +105,8 @@
         request->parts[i] = fields->parts[i].id;
     }
     find_caller_ip(request->caller_conn, request->caller_ip);
-    uint64_t hash = add_to_hash(0, BkStr_FromC(request->caller_ip));
-    hash = add_to_hash(hash, head->method);
+    /* without the address, which may be another one each time */
+    uint64_t hash = add_to_hash(0, head->method);
     hash = add_to_hash(hash, BkH1Head_Find(head, "Host"));
     hash = add_to_hash(hash, head->target);
     hash = add_to_hash(hash, BkBuf_Str(&request->body));
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -314,9 +314,9 @@
     /* ids of the parts of its prompt, without the last, which is its own */
     uint64_t parts[BK_MAX_PROMPT_PARTS];
     int part_count;
-    /* hash of what a caller repeats when it sends the request again: its
-       address, the method, host, target and body, or the model and parts of
-       the prompt if it has no body */
+    /* hash of what a caller repeats when it sends the request again: the
+       method, host, target and body, or the model and parts of the prompt if
+       it has no body */
     uint64_t digest;
     char caller_ip[INET_ADDRSTRLEN];
     BkBuf head; /* request line and forwarded fields */
