--- a/tests/proof/case_front_crashes.py
+++ b/tests/proof/case_front_crashes.py
@@ -39,7 +39,8 @@
         self.store, self.is_bad, self.service = store, is_bad, service
         self.models, self.slots = models, slots
         self.lock, self.crashes, self.arrivals = threading.Lock(), [], []
-        self.crashes_by_bad, self.all = [], []
+        self.all = []
+        self.crashed_by = []  # (time, request)
         self.started, self.bad_until = 0, float("inf")
         for _ in range(count):
             self.start()
@@ -62,14 +63,14 @@
         bad = self.is_bad(req)
         if bad:
             with self.lock:
-                self.arrivals.append((now, req.fields["x-front"]))
+                self.arrivals.append((now, req.fields["x-front"], req))
         crashes = bad and now < self.bad_until
         if self.models is None:
             return self.serve_plain(upstream, req, sock, crashes)
         time.sleep(0.02)
         sock.sendall(stream_head(req))
         if crashes:
-            self.crash(upstream, self.crashes_by_bad)
+            self.crash(upstream, req)
             return False
         for number in range(1, EVENTS + 1):
             sock.sendall(chunk(stream_bytes(number, number)))
@@ -80,19 +81,21 @@
     def serve_plain(self, upstream, req, sock, crashes):
         time.sleep(RUN_S)
         if crashes:
-            self.crash(upstream, self.crashes_by_bad)
+            self.crash(upstream, req)
             return False
         sock.sendall(sealed(req))
         return True
 
-    def crash(self, upstream, crashes=None):
+    def crash(self, upstream, req=None):
+        """req: the request that it crashes of; None: another reason."""
+        now = time.monotonic()
         with self.lock:
             if upstream.ended:
                 return
             upstream.ended = True
-            for record in (self.crashes, crashes):
-                if record is not None:
-                    record.append(time.monotonic())
+            self.crashes.append(now)
+            if req is not None:
+                self.crashed_by.append((now, req))
         upstream.crash()
         threading.Timer(BACK_S, self.start).start()
         threading.Timer(ROW_S, self.store.put, (
@@ -107,7 +110,7 @@
             self.crash(upstream)
 
     def arrivals_after(self, moment, in_touch=lambda front, at: True):
-        return len([at for at, front in self.arrivals
+        return len([at for at, front, _ in self.arrivals
                     if at > moment and in_touch(front, at)])
 
 
@@ -246,7 +249,7 @@
 def check_bad(upstreams, fleet, sound, what="requests with the part",
                    allowed=PART_CRASHES):
     """Judges what came after the crashes that are allowed."""
-    crashes = upstreams.crashes_by_bad
+    crashes = [at for at, _ in upstreams.crashed_by]
     check(crashes, "no upstream crashed")
     last = crashes[min(len(crashes), allowed) - 1]
     late = upstreams.arrivals_after(last + CONTACT_S, fleet.in_touch) \
