--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -363,10 +363,16 @@
                              count_allowed_loads(planner, site_engine, now)};
     int move_count =
         BkPlan_Decide(&bk_plan_defaults, &input, moves, BK_PLAN_MAX_MOVES);
+    int loads_before = planner->weight_load_count;
     for (int i = 0; i < move_count; i++) {
         execute_move(planner, service_engines[moves[i].engine], site_engine,
                      &moves[i], now);
     }
+    if (planner->weight_load_count > loads_before) {
+        /* a successor must count them, should this daemon die before the next
+           regular beat */
+        FrGossip_SendPlannerBeat(planner->front->peers, now);
+    }
     free(models);
     free(engines);
     free(service_engines);
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -4,12 +4,13 @@
 import os
 import re
 import subprocess
+import threading
 import time
 
 from basics import case, check, request, wait
 from case_front import set_handlers, runs, serve
 from harness import next_port
-from platform_standins import (Caller, Front, Proxy, Replica, Store,
+from platform_standins import (BOUNDS, Caller, Front, Proxy, Replica, Store,
                                configure, platform_settings, raw_request,
                                render, route)
 
@@ -267,6 +268,48 @@
     check_fences(upstreams)
 
 
+def model_loads(upstreams):
+    """When engines accepted loads of models."""
+    return sorted(x["at"] for upstream in upstreams for x in upstream.orders
+                  if x["operation"] == "load" and "adapter" not in x
+                  and x["code"] == 202)
+
+
+@case
+def state_takeover_after_loads(world):
+    """A planner dies right after it has begun as many loads as the weight
+    store's limit allows. Its successor counts them."""
+    names = ["n%d" % n for n in range(10)]
+    model = ENGINE["models"][0]
+    store = Store()
+    configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
+              {**ENGINE, "loadsPerS": 0.4,
+               "models": [{**model, "name": name} for name in names]})
+    upstreams = [Replica(store, "e-%d" % n, "llm", models={})
+                 for n in range(10)]
+    daemons = [Front(world, store, "front-%d" % n) for n in range(3)]
+    for daemon in daemons:
+        daemon.await_ready()
+    wait("a planner", lambda: terms(daemons))
+    time.sleep(1)  # until all have heard of it
+    threads = [threading.Thread(target=ask, args=(daemon, name), daemon=True)
+               for daemon in daemons for name in names]
+    for thread in threads:
+        thread.start()
+    wait("loads", lambda: len(model_loads(upstreams)) >= 4)
+    planner = next(d for d in daemons if d.events("term begins"))
+    planner.kill()
+    before = len(model_loads(upstreams))
+    wait("loads of the next planner",
+         lambda: len(model_loads(upstreams)) > before)
+    time.sleep(5)
+    loads = model_loads(upstreams)
+    allowed = 0.4 * BOUNDS["ceilingWindowS"] * BOUNDS["ceilingOvershoot"] + 3
+    most = max(sum(1 for y in loads
+                   if x <= y < x + BOUNDS["ceilingWindowS"]) for x in loads)
+    check(most <= allowed, "%d loads in a window, allowed %.1f", most, allowed)
+
+
 @case
 def state_frozen_planner(world):
     """A planner that was frozen beyond its lease sends no order once it runs
