quarantine: list requests before ending them

Found by reading: the end of one request may end the next one in the list, which moves to the list of ended ones, so that the rest was not refused, or not dispatched after a hold. No test shows it; the proofs of crashes pass.

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -395,8 +395,8 @@
 /* The caller's output buffer has room again. */
 void FrRequest_OnCallerDrained(FrRequest *request);
 
-/* Tries to send the request to an upstream. Returns false if it must wait,
- * true if it was sent or has ended. */
+/* Tries to send the request to an upstream. Returns false if it must wait in
+ * the queue, true if it was sent, is held (quarantine.h) or has ended. */
 bool FrRequest_Dispatch(FrRequest *request);
 
 /* Ends the request with an error response of the daemon itself, or by aborting
--- a/src/front/quarantine.c
+++ b/src/front/quarantine.c
@@ -137,39 +137,57 @@
                                                    : retry_after);
 }
 
+/* Lists the requests, since the end of one may end others or begin new ones.
+   Those that end stay allocated until the reap timer runs. */
+static FrRequest **
+list_requests(const FrFront *front, int *count)
+{
+    FrRequest **list =
+        BkMem_New((size_t)front->request_count + 1, sizeof(FrRequest *));
+
+    *count = 0;
+    for (FrRequest *request = front->requests; request != NULL;
+         request = request->next) {
+        list[(*count)++] = request;
+    }
+    return list;
+}
+
 /* Ends the requests that a new verdict bars, also those that were sent and
    have got no response yet: an upstream may drop such a request before it
    crashes of it. */
 static void
 refuse_barred(FrQuarantine *quarantine, BkVerdict *verdict, BkMs now)
 {
-    FrRequest *next;
+    int count;
+    FrRequest **list = list_requests(quarantine->front, &count);
 
-    for (FrRequest *request = quarantine->front->requests; request != NULL;
-         request = next) {
-        next = request->next;
+    for (int i = 0; i < count; i++) {
+        FrRequest *request = list[i];
         if (request->stage != FR_ENDED && request->output_at == 0 &&
             !is_trial(quarantine, request, verdict) &&
             has_trait(request, &verdict->trait)) {
             refuse(quarantine, request, verdict, now);
         }
     }
+    free(list);
 }
 
 /* Dispatches the requests that wait for a decision. */
 static void
 dispatch_held(FrQuarantine *quarantine)
 {
-    FrRequest *next;
+    int count;
+    FrRequest **list = list_requests(quarantine->front, &count);
 
-    for (FrRequest *request = quarantine->front->requests; request != NULL;
-         request = next) {
-        next = request->next;
+    for (int i = 0; i < count; i++) {
+        FrRequest *request = list[i];
         if (request->held && request->stage == FR_WAITING) {
             request->held = false;
             FrRequest_Dispatch(request);
         }
     }
+    free(list);
 }
 
 /* Starts the timer for the next decision, or the end of a claim's wait. */
--- a/src/front/quarantine_rows.c
+++ b/src/front/quarantine_rows.c
@@ -96,7 +96,7 @@
                         (json_int_t)reply->rows[i].version);
             continue;
         }
-        verdict.since = now; /* nobody knows how much of the term is left */
+        verdict.since = now; /* how much of the term is left is not known */
         verdict.evidence_since = now;
         FrQuarantine_ApplyVerdict(quarantine, &verdict, "the store", now);
     }
