planner: count no demand of an earlier term as new

Cause: a daemon that is the planner again, after another one was, kept the counters that daemons had told it in its earlier term.

Change: a term begins without sources. test_later_term failed before.

--- a/src/front/demand.c
+++ b/src/front/demand.c
@@ -194,6 +194,16 @@
     }
 }
 
+static void
+forget_sources(FrPlanner *planner)
+{
+    for (int i = 0; i < planner->source_count; i++) {
+        free(planner->sources[i].name);
+        free(planner->sources[i].rows);
+    }
+    planner->source_count = 0;
+}
+
 static FrDemandSource *
 find_or_add_source(FrPlanner *planner, const char *name)
 {
@@ -303,6 +313,13 @@
     }
 }
 
+void
+FrDemand_BeginTerm(FrPlanner *planner)
+{
+    forget_sources(planner);
+    planner->model_work_count = 0;
+}
+
 void
 FrDemand_UpdateWork(FrPlanner *planner, BkMs now)
 {
@@ -356,10 +373,7 @@
 void
 FrDemand_Destroy(FrPlanner *planner)
 {
-    for (int i = 0; i < planner->source_count; i++) {
-        free(planner->sources[i].name);
-        free(planner->sources[i].rows);
-    }
+    forget_sources(planner);
     free(planner->sources);
     free(planner->model_work);
     free(planner->own_demands);
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -433,6 +433,7 @@
     planner->work_updated_at = now;
     FrPeers_NoteOwnTerm(planner->front->peers, planner->planned_term);
     FrEngines_Clear(planner);
+    FrDemand_BeginTerm(planner);
     planner->is_first_term = planner->lease.is_first;
     if (!planner->is_first_term) {
         assume_recent_loads(planner, now);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -238,6 +238,9 @@
 /* Sends this daemon's demand to the planner at regular intervals. */
 void FrDemand_Send(FrPlanner *planner, BkMs now);
 
+/* Forgets what daemons told this one in its earlier terms. */
+void FrDemand_BeginTerm(FrPlanner *planner);
+
 /* As the planner: updates the work rates from the demand received. */
 void FrDemand_UpdateWork(FrPlanner *planner, BkMs now);
 
--- a/tests/unit/test_demand.c
+++ b/tests/unit/test_demand.c
@@ -97,6 +97,23 @@
 }
 END_TEST
 
+/* The planner of a later term does not count as new what daemons told other
+   planners since its own last term. */
+START_TEST(test_later_term)
+{
+    Fixture fixture = make_fixture();
+    BkWork reference = {0};
+
+    tell(&fixture, 1, 5000, 5000, 0);
+    ck_assert(round_has_work(&fixture, &reference, 5000));
+    FrDemand_BeginTerm(fixture.planner);
+    reference = (BkWork){0};
+    tell(&fixture, 1, 1000000, 300, 0);
+    ck_assert(round_has_work(&fixture, &reference, 300));
+    destroy_fixture(&fixture);
+}
+END_TEST
+
 /* Waiting requests count until the daemon says otherwise or is silent. */
 START_TEST(test_waiting)
 {
@@ -118,7 +135,8 @@
 int
 main(void)
 {
-    const TTest *const tests[] = {test_work, test_restart, test_waiting};
+    const TTest *const tests[] = {test_work, test_restart, test_later_term,
+                                  test_waiting};
 
-    return BkUnit_Main("demand", tests, 3);
+    return BkUnit_Main("demand", tests, 4);
 }
