planner: go by the demand that is expected when a load ends

Hypothesis: demand moves to another model within about 6 s, and a copy from a disk takes 2 to 3 s with the unload before it.

Change: two means, of 0.8 and 3 s, and the rate 2.5 s ahead from their difference, within 0.3 and 2.5 times the recent one. unit work replays the ramp; its old lines described the mean that is gone.

--- a/bench/engines/daemons.c
+++ b/bench/engines/daemons.c
@@ -364,7 +364,8 @@
 {
     for (int m = 0; m < (int)emu->pattern.site.models; m++) {
         emu->models[m].waiting_requests = 0;
-        emu->models[m].work = emu->work[m].rate;
+        emu->models[m].work =
+            BkWork_Forecast(&emu->work[m], &bk_work_defaults);
         emu->models[m].steady_work = emu->work[m].steady_rate;
     }
     for (const EmuRequest *request = emu->waiting; request != NULL;
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -235,7 +235,7 @@
         .weight_store_load_time = model->weight_store_load_time,
         .disk_load_time = model->disk_load_time,
         .memory_load_time = model->memory_load_time,
-        .work = work.rate,
+        .work = BkWork_Forecast(&work, &bk_work_defaults),
         .steady_work = work.steady_rate,
         .waiting_requests = FrDemand_GetWaiting(planner, model->key)};
 }
@@ -324,7 +324,8 @@
                 "s:s, s:s, s:s, s:s, s:f, s:i, s:b", "upstream",
                 engine->up->id, "kind",
                 move->kind == BK_PLAN_LOAD ? "load" : "unload", "model",
-                model->name, "why", move->why, "work", work.rate, "waiting",
+                model->name, "why", move->why, "work",
+                BkWork_Forecast(&work, &bk_work_defaults), "waiting",
                 FrDemand_GetWaiting(planner, model->key), "from_store",
                 move->from_weight_store);
     BkCounter_Add(planner->model_load_counter,
--- a/src/plan/work.c
+++ b/src/plan/work.c
@@ -2,8 +2,12 @@
 
 #include <math.h>
 
-const BkWorkConf bk_work_defaults = {
-    .rise = 400, .fall = 3000, .steady = 10000};
+const BkWorkConf bk_work_defaults = {.recent = 800,
+                                     .slow = 3000,
+                                     .steady = 10000,
+                                     .lookahead = 2500,
+                                     .min_forecast = 0.3,
+                                     .max_forecast = 2.5};
 
 void
 BkWork_Add(BkWork *work, double tokens)
@@ -22,9 +26,22 @@
 BkWork_EndRound(BkWork *work, const BkWorkConf *conf, BkMs span)
 {
     double rate = work->round_tokens * (double)BK_MS_PER_S / (double)span;
-    BkMs time_constant = rate > work->rate ? conf->rise : conf->fall;
 
-    work->rate = smooth(work->rate, rate, span, time_constant);
+    work->recent_rate = smooth(work->recent_rate, rate, span, conf->recent);
+    work->slow_rate = smooth(work->slow_rate, rate, span, conf->slow);
     work->steady_rate = smooth(work->steady_rate, rate, span, conf->steady);
     work->round_tokens = 0;
 }
+
+double
+BkWork_Forecast(const BkWork *work, const BkWorkConf *conf)
+{
+    /* each mean lags behind a steady trend by its time constant */
+    double trend = (work->recent_rate - work->slow_rate) /
+                   (double)(conf->slow - conf->recent);
+    double forecast =
+        work->recent_rate + trend * (double)(conf->recent + conf->lookahead);
+
+    return fmin(fmax(forecast, conf->min_forecast * work->recent_rate),
+                conf->max_forecast * work->recent_rate);
+}
--- a/tests/unit/test_demand.c
+++ b/tests/unit/test_demand.c
@@ -50,7 +50,14 @@
     FrDemand_Handle(fixture->planner, &demands, fixture->now);
 }
 
-/* Ends the round; returns whether the model's rate is that of so much work. */
+static bool
+is_near(double a, double b)
+{
+    return a > b - 1e-6 && a < b + 1e-6;
+}
+
+/* Ends the round; returns whether the model's rates are those of so much work.
+ */
 static bool
 round_has_work(Fixture *fixture, BkWork *reference, double work)
 {
@@ -58,8 +65,10 @@
     BkWork_EndRound(reference, &bk_work_defaults, ROUND);
     fixture->now += ROUND;
     FrDemand_UpdateWork(fixture->planner, fixture->now);
-    double rate = FrDemand_GetWork(fixture->planner, MODEL).rate;
-    return rate > reference->rate - 1e-6 && rate < reference->rate + 1e-6;
+    BkWork known = FrDemand_GetWork(fixture->planner, MODEL);
+    return is_near(known.recent_rate, reference->recent_rate) &&
+           is_near(known.slow_rate, reference->slow_rate) &&
+           is_near(known.steady_rate, reference->steady_rate);
 }
 
 /* A planner that hears of a model for the first time counts only the work that
