planner: one placement for all deployments, by the work of each engine

The one for ample memory never unloads the last copy of a model that nobody asks for; it took copies of the busiest models instead, whose running requests held up the unload for 5 s.

The scripted tests of both hold as they are.

--- a/include/bk/plan/plan.h
+++ b/include/bk/plan/plan.h
@@ -7,15 +7,11 @@
  * Weights that an engine has in host memory or on its disk are preferred to
  * those in the weight store.
  *
- * While memory is ample, every model keeps at least one copy. The remaining
- * memory goes to the models with the most work per copy: free memory first,
- * then the memory of the least needed copy.
- *
- * Where one copy of each model takes most of the memory, that rule would
- * leave busy models too few engines. The decision then goes by the work of
- * each engine: a copy is placed where it relieves overloaded engines, and
- * the last copy of a model that no request waits for may be unloaded if its
- * weights stay in host memory or on a disk, from where it can be reloaded
+ * Decides by the work of each engine: a copy is placed where it relieves
+ * overloaded engines, at the least loss. That answers demand that moves to
+ * other models and engines that are lost, while most engines have little to
+ * do. The last copy of a model that no request waits for may be unloaded if
+ * its weights stay in host memory or on a disk, from where it can be reloaded
  * quickly on a request.
  */
 #ifndef BK_PLAN_PLAN_H
@@ -33,18 +29,10 @@
 
 /* Work, and the values that it is compared with, are in tokens a second. */
 typedef struct BkPlanConf {
-    /* memory is scarce if one copy of each model takes, in total, more than
-       this share of it */
-    double scarce_share;
     /* replace a copy only if that gains at least this many times what is
        lost */
     double min_gain_ratio;
-    double idle_work; /* a model with less work is idle */
-    /* used while memory is ample */
-    double work_per_copy; /* that one copy should serve */
-    /* value of the first copy of a model when no request waits for it */
-    double first_copy_value;
-    /* used while memory is scarce */
+    double idle_work;       /* a model with less work is idle */
     double work_per_engine; /* that one engine should serve */
     /* an engine is overloaded above work_per_engine, or above this multiple
        of the mean work of all engines if that is more */
--- a/src/plan/common.h
+++ b/src/plan/common.h
@@ -1,6 +1,5 @@
 /*
- * common - functions that both strategies use, for ample and for scarce
- * memory, and the strategies' entry points
+ * common - what an engine holds and can load
  */
 #ifndef BK_SRC_PLAN_COMMON_H
 #define BK_SRC_PLAN_COMMON_H
@@ -34,12 +33,4 @@
 BkMs BkPlan_LoadTime(const BkPlanEngine *engine, const BkPlanModel *model,
                      bool *from_store);
 
-/* used while memory is ample: goes by each model's work per copy */
-int BkPlanAmple_Decide(const BkPlanConf *conf, const BkPlanInput *input,
-                       BkPlanMove *moves, int max);
-
-/* used while memory is scarce: goes by the work of each engine */
-int BkPlanScarce_Decide(const BkPlanConf *conf, const BkPlanInput *input,
-                        BkPlanMove *moves, int max);
-
 #endif
--- a/src/plan/scarce.c
+++ b/src/plan/decide.c
@@ -625,8 +625,8 @@
 }
 
 int
-BkPlanScarce_Decide(const BkPlanConf *conf, const BkPlanInput *input,
-                    BkPlanMove *moves, int max)
+BkPlan_Decide(const BkPlanConf *conf, const BkPlanInput *input,
+              BkPlanMove *moves, int max)
 {
     Plan plan = {.conf = conf,
                  .input = input,
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -4,14 +4,9 @@
 
 /* An engine processes about 20000 tokens a second. */
 const BkPlanConf bk_plan_defaults = {
-    .scarce_share = 0.6, /* above this, few models fit twice */
     .min_gain_ratio = 2.0,
     .idle_work = 50,
-    /* over a quarter of what an engine processes, which leaves capacity for
-       bursts */
-    .work_per_copy = 6000,
-    .first_copy_value = 20000, /* about what an engine processes */
-    .work_per_engine = 12000,  /* over half of what an engine processes */
+    .work_per_engine = 12000, /* over half of what an engine processes */
     .overload_factor = 1.2,
     .min_relief_work = 3000, /* a quarter of work_per_engine */
     .last_copy_value = 1000,
@@ -119,28 +114,3 @@
                ? model
                : -1;
 }
-
-/* whether one copy of each model takes most of the memory */
-static bool
-is_scarce(const BkPlanConf *conf, const BkPlanInput *input)
-{
-    double needed_mb = 0;
-    double total_mb = 0;
-
-    for (int m = 0; m < input->model_count; m++) {
-        needed_mb += input->models[m].weights_mb;
-    }
-    for (int e = 0; e < input->engine_count; e++) {
-        total_mb += input->engines[e].open ? input->engines[e].capacity_mb : 0;
-    }
-    return needed_mb > conf->scarce_share * total_mb;
-}
-
-int
-BkPlan_Decide(const BkPlanConf *conf, const BkPlanInput *input,
-              BkPlanMove *moves, int max)
-{
-    return is_scarce(conf, input)
-               ? BkPlanScarce_Decide(conf, input, moves, max)
-               : BkPlanAmple_Decide(conf, input, moves, max);
-}
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -196,7 +196,7 @@
     return false;
 }
 
-/* random deployments with ample or scarce memory: no move overcommits an
+/* random deployments, with much or little memory for their models: no move overcommits an
  * engine's memory or uses an engine that is closed or has an order, and no
  * last copy is unloaded that requests wait for or whose weights are not on a
  * disk */
