planner: weigh models that requests wait for against overloaded ones

Hypothesis: a model without a copy and with one waiting request came before everything else, and took an engine for an 8 s load from the weight store.

Change: such a model's need is its work and 500 tokens a second for each waiting request, as that of an overloaded one is its excess. Loads of first copies from the weight store take a quarter of the engines at a time, one at least. The only ready copy of a model stays while others are still loaded.

Tests: plan.script replays engines that come back empty while demand moves, and first copies from the store.

--- a/include/bk/plan/plan.h
+++ b/include/bk/plan/plan.h
@@ -12,7 +12,9 @@
  * other models and engines that are lost, while most engines have little to
  * do. The last copy of a model that no request waits for may be unloaded if
  * its weights stay in host memory or on a disk, from where it can be reloaded
- * quickly on a request.
+ * quickly on a request. A model without a copy competes with overloaded ones
+ * by the work that waits for it, so that a few requests for rare models do not
+ * take all engines' time for loads from many requests for busy ones.
  */
 #ifndef BK_PLAN_PLAN_H
 #define BK_PLAN_PLAN_H
@@ -48,6 +50,10 @@
        weights are only in the store: the unload that makes room for it may
        cost at most this, divided by min_gain_ratio */
     double missing_copy_value;
+    /* share of the open engines that may load a first copy from the weight
+       store at one time, at least one: such an engine carries out no other
+       order meanwhile, and overloaded models need it too */
+    double first_copy_share;
     /* a load that takes this long or longer is judged by steady_work only; for
        a shorter one, a recent rise of the work counts in part */
     BkMs steady_load_time;
@@ -76,6 +82,7 @@
     int held_count;
     uint32_t loading;      /* 0: none; counts as a copy and uses memory */
     uint32_t unloading;    /* 0: none; uses memory, but is no copy */
+    bool loads_from_store; /* while loading: from the weight store */
     uint32_t reserved_for; /* 0: none; memory is reserved for this model */
     uint32_t cached_in_memory[BK_UP_MAX_CACHED];
     int cached_in_memory_count;
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -253,6 +253,7 @@
                           .held_count = engine->held_count,
                           .loading = engine->loading,
                           .unloading = engine->unloading,
+                          .loads_from_store = engine->order.from_weight_store,
                           .reserved_for = engine->reserved_for,
                           .cached_in_memory_count = up->cached_in_memory_count,
                           .cached_on_disk_count = up->cached_on_disk_count};
--- a/src/plan/decide.c
+++ b/src/plan/decide.c
@@ -6,8 +6,8 @@
 #include "bk/base/str.h"
 
 enum {
-    /* tokens a second that each waiting request counts as while its model is
-       being loaded */
+    /* tokens a second that each waiting request of a model without a copy
+       counts as */
     WAITING_WORK = 500,
     /* a model's work is divided into this many portions for each of its copies
        and spread portion by portion */
@@ -29,6 +29,7 @@
     int model;
     int engine;
     double work;
+    bool ready; /* held already, and not only being loaded */
     bool removed;
     int next_of_model; /* -1: none */
     int next_of_engine;
@@ -44,6 +45,7 @@
     int *first_of_model; /* index of the first copy; -1: none */
     int *first_of_engine;
     int *model_copies; /* number of copies per model */
+    int *ready_copies; /* of these, ready ones */
     /* per model: an open engine has the weights in host memory or on disk */
     bool *cached;
     double *engine_work; /* per engine: work of its copies */
@@ -52,7 +54,8 @@
     bool *has_move;      /* engines that have a move in this round */
     /* models that need no further copy, or that no engine can load now */
     bool *done;
-    int store_loads_left; /* loads from the weight store still allowed */
+    int store_loads_left;  /* loads from the weight store still allowed */
+    int first_copies_left; /* of these, for models without a copy */
     BkPlanMove *moves;
     int move_count;
     int max_moves;
@@ -71,7 +74,7 @@
 }
 
 static void
-add_copy(Plan *plan, int model, int engine)
+add_copy(Plan *plan, int model, int engine, bool ready)
 {
     if (model < 0 || find_copy(plan, model, engine) != NULL) {
         return;
@@ -79,12 +82,14 @@
     plan->copies[plan->copy_count] =
         (Copy){.model = model,
                .engine = engine,
+               .ready = ready,
                .next_of_model = plan->first_of_model[model],
                .next_of_engine = plan->first_of_engine[engine]};
     plan->first_of_model[model] = plan->copy_count;
     plan->first_of_engine[engine] = plan->copy_count;
     plan->copy_count++;
     plan->model_copies[model]++;
+    plan->ready_copies[model] += ready ? 1 : 0;
 }
 
 static void
@@ -181,11 +186,13 @@
         }
         for (int i = 0; i < engine->held_count; i++) {
             if (engine->held[i] != engine->unloading) {
-                add_copy(plan, BkPlan_FindModel(input, engine->held[i]), e);
+                add_copy(plan, BkPlan_FindModel(input, engine->held[i]), e,
+                         true);
             }
         }
-        add_copy(plan, BkPlan_FindModel(input, engine->loading), e);
-        add_copy(plan, BkPlan_FindModel(input, engine->reserved_for), e);
+        add_copy(plan, BkPlan_FindModel(input, engine->loading), e, false);
+        add_copy(plan, BkPlan_FindModel(input, engine->reserved_for), e,
+                 false);
         mark_cached(plan, engine->cached_in_memory,
                     engine->cached_in_memory_count);
         mark_cached(plan, engine->cached_on_disk,
@@ -193,6 +200,39 @@
     }
 }
 
+/* The engine loads the only copy of a model from the weight store, or is to do
+ * so into reserved memory. */
+static bool
+loads_first_copy(const Plan *plan, const BkPlanEngine *engine)
+{
+    bool from_store = engine->loading != 0 && engine->loads_from_store;
+    int model = BkPlan_FindModel(
+        plan->input, from_store ? engine->loading : engine->reserved_for);
+
+    if (!engine->open || model < 0 || plan->model_copies[model] > 1) {
+        return false;
+    }
+    if (!from_store) {
+        BkPlan_LoadTime(engine, &plan->input->models[model], &from_store);
+    }
+    return from_store;
+}
+
+static int
+count_first_copies_left(const Plan *plan)
+{
+    const BkPlanInput *input = plan->input;
+    int open_engines = 0;
+    int loading = 0;
+
+    for (int e = 0; e < input->engine_count; e++) {
+        open_engines += input->engines[e].open ? 1 : 0;
+        loading += loads_first_copy(plan, &input->engines[e]) ? 1 : 0;
+    }
+    int limit = (int)(plan->conf->first_copy_share * open_engines);
+    return (limit < 1 ? 1 : limit) - loading;
+}
+
 /* the model's work above the limit of its engines; all of its work, if it has
  * no copy */
 static double
@@ -232,8 +272,10 @@
     double model_copies = plan->model_copies[copy->model];
     double spare_capacity = 0;
 
-    if (info->waiting_requests > 0) {
-        return -1;
+    if (info->waiting_requests > 0 ||
+        (copy->ready && plan->ready_copies[copy->model] == 1 &&
+         plan->model_copies[copy->model] > 1)) {
+        return -1; /* the others are still being loaded */
     }
     if (plan->model_copies[copy->model] == 1) {
         return plan->cached[copy->model]
@@ -312,7 +354,9 @@
     *candidate = (Candidate){.engine = e};
     candidate->load_time =
         BkPlan_LoadTime(engine, info, &candidate->from_store);
-    if (candidate->from_store && plan->store_loads_left <= 0) {
+    if (candidate->from_store &&
+        (plan->store_loads_left <= 0 ||
+         (plan->model_copies[model] == 0 && plan->first_copies_left <= 0))) {
         return false;
     }
     double needed_mb = info->weights_mb - plan->free_mb[e];
@@ -335,6 +379,9 @@
                          .from_weight_store = candidate->from_store,
                          .why = why};
     plan->has_move[candidate->engine] = true;
+    if (candidate->from_store && plan->model_copies[model] == 0) {
+        plan->first_copies_left--;
+    }
     if (candidate->victim != NULL) {
         int victim = candidate->victim->model;
         *move = (BkPlanMove){.kind = BK_PLAN_UNLOAD,
@@ -346,13 +393,14 @@
         clear_work(plan, victim);
         copy->removed = true;
         plan->model_copies[victim]--;
+        plan->ready_copies[victim] -= copy->ready ? 1 : 0;
         spread_work(plan, victim);
     }
     else if (candidate->from_store) {
         plan->store_loads_left--;
     }
     /* a model that replaces the victim counts as loaded already */
-    add_copy(plan, model, candidate->engine);
+    add_copy(plan, model, candidate->engine, false);
     spread_work(plan, model);
 }
 
@@ -507,7 +555,6 @@
 static int
 find_neediest(const Plan *plan)
 {
-    const double waiting_need = 1e9; /* above any other need */
     int best = -1;
     double best_need = 0;
 
@@ -520,9 +567,7 @@
         if (plan->model_copies[m] == 0) {
             /* 1: a model without a copy is considered even if it has no
              * work */
-            need += 1 + (info->waiting_requests > 0
-                             ? waiting_need * info->waiting_requests
-                             : 0);
+            need += 1 + WAITING_WORK * info->waiting_requests;
         }
         if (need > best_need) {
             best = m;
@@ -594,6 +639,7 @@
     plan->first_of_model = BkMem_New(models, sizeof(int));
     plan->first_of_engine = BkMem_New(engines, sizeof(int));
     plan->model_copies = BkMem_New(models, sizeof(int));
+    plan->ready_copies = BkMem_New(models, sizeof(int));
     plan->cached = BkMem_New(models, sizeof(bool));
     plan->done = BkMem_New(models, sizeof(bool));
     plan->engine_work = BkMem_New(engines, sizeof(double));
@@ -617,6 +663,7 @@
     free(plan->first_of_model);
     free(plan->first_of_engine);
     free(plan->model_copies);
+    free(plan->ready_copies);
     free(plan->cached);
     free(plan->done);
     free(plan->engine_work);
@@ -636,6 +683,7 @@
 
     create_plan(&plan);
     collect_copies(&plan);
+    plan.first_copies_left = count_first_copies_left(&plan);
     spread_all_work(&plan);
     start_reserved_loads(&plan);
     place_needed(&plan);
--- a/src/plan/plan.c
+++ b/src/plan/plan.c
@@ -11,6 +11,7 @@
     .min_relief_work = 3000, /* a quarter of work_per_engine */
     .last_copy_value = 1000,
     .missing_copy_value = 3000,
+    .first_copy_share = 0.25,
     .steady_load_time = 25000,
     .horizon = 12000};
 
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -60,7 +60,8 @@
 }
 
 /* engine NAME CAPACITY_MB
- * [held=M|loading=M|unloading=M|reserved=M|disk=M|ordered|closed]... */
+ * [held=M|loading=M|from_store|unloading=M|reserved=M|disk=M|ordered|closed]...
+ */
 static void
 set_engine(Fixture *fixture, char **words, int count)
 {
@@ -86,6 +87,9 @@
             engine->loading = key;
             engine->has_order = true;
         }
+        else if (BkStr_Equal(name, BK_STR("from_store"))) {
+            engine->loads_from_store = true;
+        }
         else if (BkStr_Equal(name, BK_STR("unloading"))) {
             engine->unloading = key;
             engine->has_order = true;
