planner: use engines at once that are added during the first term

Hypothesis: for 1.5 s after any engine was listed, a planner of the first term planned nothing; the wait was meant for its first round only.

Change: what holds up the first round is a pure decision (plan/start), and later engines are no part of it. test_start fails with the old rule.

--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -111,8 +111,7 @@
         BkMem_Grow(planner->engines, (size_t)planner->engine_count + 1,
                    sizeof(FrEngine *));
     planner->engines[planner->engine_count++] = engine;
-    planner->engines_added = true;
-    planner->engine_added_at = BkClock_Now();
+    planner->start.engine_added_at = BkClock_Now();
 }
 
 static bool
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -12,12 +12,6 @@
     IDLE_STEP_INTERVAL = 100, /* ms, while it is not */
     PLAN_INTERVAL = 100,      /* ms between planning rounds */
     RESIGN_AFTER = 700,       /* ms without an answer from the store */
-    /* ms after a takeover until the demand of the other daemons is known */
-    SETTLE_TIME = 500,
-    /* ms without a new engine before the first planning round of the first
-       term: an engine that is not listed yet may hold a model that no listed
-       engine holds */
-    ENGINE_DISCOVERY_TIME = 1500,
     /* ms that the room made by an unload is kept for the model that it was
        made for */
     RESERVATION_TIME = 4000,
@@ -386,12 +380,10 @@
     const BkSite *site = planner->front->site;
 
     if (now - planner->last_plan_at < PLAN_INTERVAL || site == NULL ||
-        now - planner->term_started_at < SETTLE_TIME ||
-        (planner->engines_added && planner->is_first_term &&
-         now - planner->engine_added_at < ENGINE_DISCOVERY_TIME)) {
+        !BkPlanStart_MayPlan(&planner->start, now)) {
         return;
     }
-    planner->engines_added = false;
+    planner->start.has_planned = true;
     planner->last_plan_at = now;
     FrDemand_UpdateWaiting(planner, now);
     for (int i = 0; i < site->service_count; i++) {
@@ -431,13 +423,13 @@
 {
     planner->in_term = true;
     planner->planned_term = planner->lease.term;
-    planner->term_started_at = now;
     planner->work_updated_at = now;
     FrPeers_NoteOwnTerm(planner->front->peers, planner->planned_term);
     FrEngines_Clear(planner);
     FrDemand_BeginTerm(planner);
-    planner->is_first_term = planner->lease.is_first;
-    if (!planner->is_first_term) {
+    planner->start = (BkPlanStart){.term_began_at = now,
+                                   .is_first_term = planner->lease.is_first};
+    if (!planner->start.is_first_term) {
         assume_recent_loads(planner, now);
     }
     BkLog_Event(BK_LOG_NOTICE, "planner", NULL, "term begins", "s:I", "term",
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -21,6 +21,7 @@
 #include "bk/lease/lease.h"
 #include "bk/peer/gen/peer_xdr.h"
 #include "bk/plan/plan.h"
+#include "bk/plan/start.h"
 #include "bk/plan/work.h"
 #include "front.h"
 
@@ -133,8 +134,7 @@
     bool lease_released;      /* the daemon is stopping; no more claims */
     bool in_term; /* in a term of this daemon, from begin_term to end_term */
     uint64_t planned_term; /* while in_term: number of this term */
-    BkMs term_started_at;  /* while in_term: when begin_term ran */
-    bool is_first_term;    /* while in_term: no term was ever before it */
+    BkPlanStart start;     /* while in_term */
     BkMs store_ok_at; /* when the store was last known to answer this daemon */
     BkMs last_step_at;
     /* the process paused for so long that another daemon may have taken
@@ -142,8 +142,6 @@
     bool stalled;
     FrEngine **engines;
     int engine_count;
-    bool engines_added; /* since the last planning round */
-    BkMs engine_added_at;
     FrDemandSource *sources;
     int source_count;
     FrModelWork *model_work; /* sorted by model */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bk/plan/plan.h"
+#include "bk/plan/start.h"
 #include "script.h"
 
 enum {
@@ -273,10 +274,32 @@
 }
 END_TEST
 
+/* Engines crash under load and come back: the planner uses them at once, also
+   in the first term; only that term's first round awaits the list of engines.
+ */
+START_TEST(test_start)
+{
+    BkPlanStart start = {
+        .term_began_at = 1000, .is_first_term = true, .engine_added_at = 1200};
+
+    ck_assert(!BkPlanStart_MayPlan(&start, 1400));
+    start.engine_added_at = 2000;
+    ck_assert(!BkPlanStart_MayPlan(&start, 3499));
+    ck_assert(BkPlanStart_MayPlan(&start, 3500));
+    start.has_planned = true;
+    start.engine_added_at = 9000;
+    ck_assert(BkPlanStart_MayPlan(&start, 9000));
+    start = (BkPlanStart){.term_began_at = 20000, .engine_added_at = 20100};
+    ck_assert(!BkPlanStart_MayPlan(&start, 20499));
+    ck_assert(BkPlanStart_MayPlan(&start, 20500));
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {test_decisions, test_random_deployments};
+    const TTest *const tests[] = {test_decisions, test_random_deployments,
+                                  test_start};
 
-    return BkUnit_Main("plan", tests, 2);
+    return BkUnit_Main("plan", tests, 3);
 }
