--- a/src/plan/decide.c
+++ b/src/plan/decide.c
@@ -523,18 +523,35 @@
     return best.engine >= 0;
 }
 
+/* Whether an open engine has memory for the model, also one that accepts no
+ * move now. */
+static bool
+is_memory_free(const Plan *plan, int model)
+{
+    const BkPlanInput *input = plan->input;
+
+    for (int e = 0; e < input->engine_count; e++) {
+        if (input->engines[e].open &&
+            plan->free_mb[e] >= input->models[model].weights_mb) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Loads a model that no engine holds and no request waits for: into free
- * memory or, if its weights are cached nowhere, also in place of a copy whose
- * unload loses little work. */
+ * memory or, if there is none and its weights are cached nowhere, in place of
+ * a copy whose unload loses little work. */
 static bool
 place_missing_model(Plan *plan, int model)
 {
     Candidate best = {.engine = -1};
+    bool may_replace = !plan->cached[model] && !is_memory_free(plan, model);
 
     for (int e = 0; e < plan->input->engine_count; e++) {
         Candidate candidate;
         if (!make_candidate(plan, model, e, false, &candidate) ||
-            (candidate.victim != NULL && plan->cached[model]) ||
+            (candidate.victim != NULL && !may_replace) ||
             plan->conf->min_gain_ratio * candidate.loss >
                 plan->conf->missing_copy_value) {
             continue;
