--- a/include/bk/plan/start.h
+++ b/include/bk/plan/start.h
@@ -21,6 +21,7 @@
     bool has_planned;     /* in this term */
 } BkPlanStart;
 
+/* Once a round was planned in the term, nothing holds up the further ones. */
 bool BkPlanStart_MayPlan(const BkPlanStart *start, BkMs now);
 
 #endif
--- a/include/bk/plan/work.h
+++ b/include/bk/plan/work.h
@@ -30,6 +30,7 @@
 typedef struct BkWork {
     /* tokens requested in the current round, which BkWork_EndRound ends */
     double round_tokens;
+    /* exponential means, with the time constants of BkWorkConf */
     double recent_rate;
     double slow_rate;
     double steady_rate;
--- a/src/plan/decide.c
+++ b/src/plan/decide.c
@@ -218,6 +218,7 @@
     return from_store;
 }
 
+/* How many more loads of first copies from the weight store may begin. */
 static int
 count_first_copies_left(const Plan *plan)
 {
@@ -272,9 +273,11 @@
     double model_copies = plan->model_copies[copy->model];
     double spare_capacity = 0;
 
-    if (info->waiting_requests > 0 ||
-        (copy->ready && plan->ready_copies[copy->model] == 1 &&
-         plan->model_copies[copy->model] > 1)) {
+    if (info->waiting_requests > 0) {
+        return -1;
+    }
+    if (copy->ready && plan->ready_copies[copy->model] == 1 &&
+        plan->model_copies[copy->model] > 1) {
         return -1; /* the others are still being loaded */
     }
     if (plan->model_copies[copy->model] == 1) {
