sync: apply changes of reports that come after a missing one

What callers met: requests to an upstream that had left, from a daemon that did not know it. Cause: a daemon that missed one change kept all later ones in its reorder buffer until the store had answered it, and dropped them altogether when it had begun to read the whole table, which it does as soon as a call fails while others are served. The store refuses single daemons for many seconds; so long they knew of no upstream that was removed without a word. Now the rows of each message are applied when they come: a row replaces only an older one of the same upstream. That the users saw this cause is not shown.

--- a/src/front/fanout.c
+++ b/src/front/fanout.c
@@ -174,11 +174,11 @@
     free(sorted);
 }
 
+/* Applies the rows without waiting for changes that are missing before them: a
+   row is only applied if it is newer than what is known of its upstream. */
 static void
-apply_message(FrSync *sync, const bkp_reports *message, BkMs now)
+apply_rows(FrSync *sync, const bkp_reports *message, BkMs now)
 {
-    FrTableSync *table = &sync->tables[FR_TABLE_REPORTS];
-
     for (u_int i = 0; i < message->rows.rows_len; i++) {
         const bkp_row *row = &message->rows.rows_val[i];
         BkStoreRow store_row = {
@@ -191,14 +191,21 @@
     if (message->rows.rows_len > 0) {
         FrQueue_SchedulePass(sync->front, 0);
     }
+}
+
+static void
+apply_message(FrSync *sync, const bkp_reports *message, BkMs now)
+{
+    FrTableSync *table = &sync->tables[FR_TABLE_REPORTS];
+
+    apply_rows(sync, message, now);
     if (message->to_store_version > table->version) {
         table->version = message->to_store_version;
     }
 }
 
-/* applies the buffered messages that follow without a gap */
-static void
-apply_reordered(FrSync *sync, BkMs now)
+void
+FrFanout_ApplyReordered(FrSync *sync, BkMs now)
 {
     bkp_reports message;
 
@@ -229,14 +236,17 @@
     if (message->store_era > table->era) {
         FrSync_NoteEra(sync, message->store_era, now);
     }
-    if (!table->list_done || message->store_era != table->era) {
+    if (message->store_era != table->era) {
         FrReorder_Clear(&sync->reorder);
     }
-    else if (message->from_store_version <= table->version) {
+    else if (table->list_done &&
+             message->from_store_version <= table->version) {
         apply_message(sync, message, now);
-        apply_reordered(sync, now);
+        FrFanout_ApplyReordered(sync, now);
     }
     else if (message->to_store_version > table->version) {
+        apply_rows(sync, message, now);
+        /* once more, in its turn: an earlier change may still come */
         FrReorder_Add(&sync->reorder, message);
     }
     FrFanout_NotePeerVersions(sync, message->site_version, message->store_era,
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -252,6 +252,9 @@
     }
     table->list_done = true;
     table->version = reply->version;
+    if (table->id == FR_TABLE_REPORTS) {
+        FrFanout_ApplyReordered(table->sync, now);
+    }
 }
 
 static void
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -126,6 +126,10 @@
  * daemon is the first of the group, and applies it. */
 void FrFanout_Receive(FrSync *sync, const bkp_reports *message, BkMs now);
 
+/* Applies the buffered messages that follow the version of the reports without
+ * a gap. */
+void FrFanout_ApplyReordered(FrSync *sync, BkMs now);
+
 /* Decides whether this daemon is a reader; as one, sends keepalives. */
 void FrFanout_Step(FrSync *sync, BkMs now);
 
