fleet: keep an upstream out that left and reports again

An upstream that had said that it leaves was used again when its report was removed, as by an outage of the store, and came back as ready: the removal replaced the state that reports do not clear.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -10,10 +10,11 @@
  * is a new upstream, and the state of the previous one is discarded.
  *
  * An upstream that is said to be leaving is marked so at once, regardless of
- * the source, and later reports do not clear the mark. An upstream whose
- * report is removed is marked gone at once while the store works. Around an
- * outage of the store it gets a grace period to report again, and in that
- * time is used only if no other upstream can serve the request.
+ * the source, and later reports do not clear the mark, even if its report was
+ * removed in between. An upstream whose report is removed is marked gone at
+ * once while the store works. Around an outage of the store it gets a grace
+ * period to report again, and in that time is used only if no other upstream
+ * can serve the request.
  */
 #ifndef BK_FLEET_FLEET_H
 #define BK_FLEET_FLEET_H
@@ -67,6 +68,7 @@
     uint64_t started_at;   /* start time, in ms since 1970; 0: not reported */
     BkUpState state;
     BkMs state_since;
+    bool announced_leaving; /* it was BK_UP_LEAVING at any time */
     /* how long it may stay BK_UP_MISSING before it is gone */
     BkMs missing_grace;
     uint64_t row_version; /* of its last report or removal in the store */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -175,6 +175,7 @@
                 "version", (json_int_t)up->row_version);
     up->state = state;
     up->state_since = now;
+    up->announced_leaving = up->announced_leaving || state == BK_UP_LEAVING;
     fleet->generation++;
 }
 
@@ -354,7 +355,8 @@
     /* A new report undoes missing and gone, but not leaving. Port 0: the
        upstream has no usable address. */
     if (up->state == BK_UP_MISSING ||
-        (up->state == BK_UP_GONE && up->sockaddr.sin_port != 0)) {
+        (up->state == BK_UP_GONE && !up->announced_leaving &&
+         up->sockaddr.sin_port != 0)) {
         set_state(fleet, up, BK_UP_LISTED, now, "it reported again");
     }
 }
