--- /dev/null
+++ b/tests/proof/case_front_recover.py
@@ -0,0 +1,153 @@
+"""VMs that have lost their links to all upstreams serve their callers by way
+of other VMs."""
+import threading
+import time
+
+from basics import case, check, wait
+from links import linked_front
+from platform_standins import Caller, Replica, Store, configure, route, \
+    sealed
+
+CONTACT_S = 3  # from the cut until callers are served like those of other VMs
+MIN_SHARE = 2 / 3  # of the first tries, compared with those at other VMs
+MORE_CALLERS = 12  # than there are open connections to upstreams
+ANSWER_TIME_S = 0.1
+PATHS = ("/safe/", "/once/", "/flow/", "/again/")
+
+
+def answer_slowly(req, sock):
+    time.sleep(ANSWER_TIME_S)
+    sock.sendall(sealed(req))
+    return True
+
+
+def serve_linked(world, names, zones=None, upstreams=4):
+    """Starts upstreams, and fronts whose links can be cut."""
+    store = Store()
+    configure(store, 1, [
+        route("safe", "safe"), route("once", "unsafe"),
+        route("flow", "streaming", maxAttempts=1),
+        route("again", "streaming", resumable=True)])
+    replicas = [Replica(store, "i-%d" % n, slots=50)
+                for n in range(upstreams)]
+    for replica in replicas:
+        replica.handlers = [answer_slowly]
+    zones = zones or ["a"] * len(names)
+    fronts = [linked_front(world, store, name, zone=zone)
+              for name, zone in zip(names, zones)]
+    for front in fronts:
+        front.await_ready()
+    for front in fronts:
+        wait("%s hears the others" % front.name, lambda: len(
+            {x["name"] for x in front.events("peer heard")}) ==
+            len(names) - 1)
+    return store, replicas, fronts
+
+
+def press(front, seconds, tally, until_deadline="2000"):
+    """Asks for each kind of request in turn, each on a new connection, and
+    tallies (path, request id, status, whole)."""
+    end = time.monotonic() + seconds
+    n = 0
+    while time.monotonic() < end:
+        path = PATHS[n % len(PATHS)]
+        request_id = "%s-%d-%d" % (front.name, threading.get_ident(), n)
+        caller = Caller(front)
+        code, _, _, whole = caller.ask(path, b"", X_Request_Id=request_id,
+                                       X_Deadline_Ms=until_deadline)
+        caller.close()
+        tally.append((path, request_id, code, whole))
+        time.sleep(0.02)
+        n += 1
+
+
+def press_all(fronts, seconds, callers=2):
+    """Presses on all fronts at once; returns a tally for each."""
+    tallies = [[] for _ in fronts]
+    threads = [threading.Thread(target=press, args=(front, seconds, tally))
+               for front, tally in zip(fronts, tallies)
+               for _ in range(callers)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return tallies
+
+
+def share_served(tally):
+    return sum(code == 200 and whole for _, _, code, whole in tally) / \
+        max(1, len(tally))
+
+
+def check_runs(replicas, tallies):
+    """Nothing that may run once ran twice, what was served ran, and what was
+    refused as not run did not."""
+    counts = {}
+    for replica in replicas:
+        for run in replica.runs:
+            counts[run.id] = counts.get(run.id, 0) + 1
+    for tally in tallies:
+        for path, request_id, code, whole in tally:
+            ran = counts.get(request_id, 0)
+            check(path in ("/safe/", "/again/") or ran <= 1,
+                  "%s ran %d times", request_id, ran)
+            check(not (code == 200 and whole) or ran > 0,
+                  "%s was served and did not run", request_id)
+            check(code not in (429, 503) or ran == 0,
+                  "%s: %d, and it ran", request_id, code)
+
+
+def check_served_like_others(cut_tallies, other_tallies):
+    cut = share_served(sum(cut_tallies, []))
+    others = share_served(sum(other_tallies, []))
+    check(cut >= MIN_SHARE * others, "%.2f of the first tries, %.2f elsewhere",
+          cut, others)
+
+
+def cut_one(world, how):
+    _, replicas, fronts = serve_linked(world, ["f-1", "f-2", "f-3"])
+    tallies = press_all(fronts, 0.5)
+    fronts[0].links.cut(how)
+    tallies += press_all(fronts, CONTACT_S, MORE_CALLERS)
+    cut, *others = press_all(fronts, 3, MORE_CALLERS)
+    check_served_like_others([cut], others)
+    fronts[0].links.restore()
+    time.sleep(1)
+    after = press_all(fronts, 1)
+    check_served_like_others([after[0]], after[1:])
+    check_runs(replicas, tallies + [cut] + others + after)
+
+
+@case
+def recover_links_live(world):
+    """The open connections of a VM to the upstreams go on, and new ones are
+    refused."""
+    cut_one(world, "live")
+
+
+@case
+def recover_links_reset(world):
+    """The connections are reset, and new ones are refused."""
+    cut_one(world, "reset")
+
+
+@case
+def recover_links_hang(world):
+    """The connections hang, and new ones get no answer."""
+    cut_one(world, "hang")
+
+
+@case
+def recover_most_of_a_zone(world):
+    """Five of six VMs of a failure domain lose their links: the others of all
+    domains share the requests, and none takes more than its part."""
+    names = ["f-%d" % n for n in range(9)]
+    zones = ["a"] * 6 + ["b"] * 3
+    _, replicas, fronts = serve_linked(world, names, zones)
+    cut = fronts[:5]
+    for front in cut:
+        front.links.cut("hang")
+    tallies = press_all(fronts, CONTACT_S)
+    after = press_all(fronts, 3)
+    check_served_like_others(after[:5], after[5:])
+    check_runs(replicas, tallies + after)
--- /dev/null
+++ b/tests/proof/links.py
@@ -0,0 +1,105 @@
+"""The links of single VMs to upstreams, which can be cut one VM at a time.
+
+A front with links reads a view of the store in which each upstream's address
+is that of a link of its own. The upstreams' rows must not change while the
+fronts run, since daemons pass changed rows on to each other.
+"""
+import base64
+import contextlib
+import json
+import socket
+
+from harness import next_port
+from platform_standins import Front, Proxy, Store
+
+
+class Link(Proxy):
+    """A VM's path to one upstream."""
+
+    def __init__(self, target):
+        self.fillers, self.port = [], next_port()
+        super().__init__(target)
+
+    def listen(self, port):
+        super().listen(port or self.port)
+
+    def close_listener(self):
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)  # wakes accept()
+        self.listener.close()
+
+    def drop_new_connections(self):
+        """Fills the queue of new connections, so that the kernel drops the
+        packets that would open further ones."""
+        self.listener = socket.create_server(("127.0.0.1", self.port),
+                                             backlog=0)
+        for _ in range(3):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.fillers.append(filler)
+
+    def cut(self, how):
+        """how: "hang": nothing is delivered, and new connections get no
+        answer; "reset": open connections are reset, and new ones refused;
+        "live": open connections go on, and new ones are refused."""
+        self.close_listener()
+        if how == "hang":
+            with self.lock:
+                for pair in self.pairs:
+                    pair["silent"] = True
+            self.drop_new_connections()
+        elif how == "reset":
+            self.reset()
+
+    def restore(self):
+        self.close_listener()
+        for filler in self.fillers:
+            filler.close()
+        self.fillers = []
+        with self.lock:
+            lost = [x for x in self.pairs if x["silent"]]
+            self.pairs = [x for x in self.pairs if not x["silent"]]
+        for pair in lost:
+            pair["near"].close()
+        self.listen(self.port)
+
+
+class StoreView(Store):
+    """The store as one VM reads it, with its own links to the upstreams."""
+
+    def __init__(self, store):
+        self.base, self.links = store, {}
+        super().__init__()
+
+    def handle(self, path, query, body):
+        code, value = self.base.handle(path, query, body)
+        for row in value.get("rows", ()):
+            if row["table"] == "servers" and "value" in row:
+                row["value"] = self.redirect(row["value"])
+        return code, value
+
+    def redirect(self, encoded):
+        report = json.loads(base64.b64decode(encoded))
+        target = report["address"]
+        with self.lock:
+            if target not in self.links:
+                self.links[target] = Link(target)
+        report["address"] = self.links[target].addr
+        return base64.b64encode(json.dumps(report).encode()).decode()
+
+    def cut(self, how):
+        for link in self.links.values():
+            link.cut(how)
+
+    def restore(self):
+        for link in self.links.values():
+            link.restore()
+
+
+def linked_front(world, store, name, **keys):
+    """A front with links of its own: front.links.cut(how), .restore()."""
+    links = StoreView(store)
+    front = Front(world, links, name, **keys)
+    front.links = links
+    return front
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -469,13 +469,20 @@
         self.target, self.pairs, self.lock = target, [], threading.Lock()
         self.delay, self.refuse, self.muted = 0, False, ()
         self.received = 0  # bytes from the target that were passed on
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.listen(0)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        threading.Thread(target=self.accept, daemon=True).start()
 
-    def accept(self):
+    def listen(self, port):
+        self.listener = socket.create_server(("127.0.0.1", port), backlog=256)
+        threading.Thread(target=self.accept, args=(self.listener,),
+                         daemon=True).start()
+
+    def accept(self, listener):
         while True:
-            client, _ = self.listener.accept()
+            try:
+                client, _ = listener.accept()
+            except OSError:
+                return  # it was closed
             host, port = self.target.split(":")
             try:
                 if self.refuse:
@@ -537,11 +544,11 @@
     """A bk-front with settings from the platform's template."""
 
     def __init__(self, world, store, name="front-1", seeds=(), log="debug",
-                 term=None, **routing):
+                 term=None, zone="a", **routing):
         listen, ops = ("127.0.0.1:%d" % next_port() for _ in range(2))
         port = next_port()
         settings = platform_settings(
-            name, bounds=BOUNDS, seeds=list(seeds),
+            name, zone=zone, bounds=BOUNDS, seeds=list(seeds),
             internalPortRange=[port, port],
             listen={"front": listen, "ready": ops},
             provider={"address": store.addr})
