attempt: count only attempts that may have arrived as retries

Cause: the budget is for arrivals beyond the first of a request, and was charged for each attempt after the first, also if no byte of that one was sent. Now an attempt without a connection counts for nothing. recover_unsent_costs_no_retry failed with 503 and passes.

--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -84,7 +84,7 @@
         .resumes = request->has_last_event,
         .last_event = request->last_event};
 
-    if (request->send_count > 0 && !take_retry(request, now)) {
+    if (request->arrival_count > 0 && !take_retry(request, now)) {
         FrRequest_GiveUp(request, "the retry budget is spent",
                          DEFAULT_RETRY_AFTER);
         return;
@@ -114,6 +114,7 @@
                         now);
     }
     request->send_count++;
+    request->arrival_count++;
     request->sent_at = now;
     request->output_at = 0;
     request->noted_well = false;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -342,6 +342,7 @@
     bool noted_well;     /* this attempt did not crash its upstream */
     bool prompt_counted; /* the prompt is counted as unprocessed there */
     int send_count;      /* attempts */
+    int arrival_count;   /* of these, may have arrived at an upstream */
     int run_count;       /* failed attempts that may have run */
     int last_up_code;    /* status of the last response from an upstream */
 
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -270,6 +270,7 @@
         }
         break;
     case FR_EXCHANGE_UNSENT:
+        request->arrival_count--;
         FrRequest_FailAttempt(request, false, true,
                               "no connection to the upstream");
         return;
--- a/tests/proof/case_front_recover.py
+++ b/tests/proof/case_front_recover.py
@@ -5,8 +5,8 @@
 
 from basics import case, check, wait
 from links import linked_front
-from platform_standins import Caller, Replica, Store, configure, route, \
-    sealed
+from platform_standins import BOUNDS, Caller, Front, Replica, Store, \
+    configure, route, sealed
 
 CONTACT_S = 3  # from the cut until callers are served like those of other VMs
 MIN_SHARE = 2 / 3  # of the first tries, compared with those at other VMs
@@ -151,3 +151,20 @@
     after = press_all(fronts, 3)
     check_served_like_others(after[:5], after[5:])
     check_runs(replicas, tallies + after)
+
+
+@case
+def recover_unsent_costs_no_retry(world):
+    """An attempt that could not be sent is none that the retry budget limits:
+    with next to no budget, a request is served by the one upstream that can
+    be connected to."""
+    store = Store()
+    configure(store, 1, [route("once", "unsafe")])
+    Replica(store, "i-live", slots=50)
+    for n in range(4):
+        Replica(store, "i-dead-%d" % n, slots=50).crash()
+    front = Front(world, store, bounds={
+        **BOUNDS, "budgetRatio": 0.001, "budgetSlack": 0.01}).await_ready()
+    for _ in range(5):
+        code = Caller(front).ask("/once/", b"")[0]
+        check(code == 200, "%d", code)
