detour: tell other VMs of lost links, and let the last one take a request

Now a VM tells all others which services it has lost, again each second, and is left out; a VM that is the last one with links takes the request whatever its load; one that refused for lack of room is not avoided.

--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -29,6 +29,7 @@
 #define BKP_MAX_SUSPECTS 24
 #define BKP_MAX_WELL_RUNS 24
 #define BKP_MAX_VERDICTS 16
+#define BKP_MAX_LOST 64
 
 struct bkp_load {
 	u_int up;
@@ -343,6 +344,17 @@
 };
 typedef struct bkp_verdicts bkp_verdicts;
 
+struct bkp_links {
+	bkp_spread spread;
+	char *name;
+	u_quad_t started_at;
+	struct {
+		u_int lost_len;
+		u_int *lost_val;
+	} lost;
+};
+typedef struct bkp_links bkp_links;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 2
 
@@ -392,6 +404,9 @@
 #define BKP_VERDICTS 17
 extern  void * bkp_verdicts_2(bkp_verdicts *, CLIENT *);
 extern  void * bkp_verdicts_2_svc(bkp_verdicts *, struct svc_req *);
+#define BKP_LINKS 18
+extern  void * bkp_links_2(bkp_links *, CLIENT *);
+extern  void * bkp_links_2_svc(bkp_links *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -440,6 +455,9 @@
 #define BKP_VERDICTS 17
 extern  void * bkp_verdicts_2();
 extern  void * bkp_verdicts_2_svc();
+#define BKP_LINKS 18
+extern  void * bkp_links_2();
+extern  void * bkp_links_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -480,6 +498,7 @@
 extern  bool_t xdr_bkp_well (XDR *, bkp_well*);
 extern  bool_t xdr_bkp_verdict (XDR *, bkp_verdict*);
 extern  bool_t xdr_bkp_verdicts (XDR *, bkp_verdicts*);
+extern  bool_t xdr_bkp_links (XDR *, bkp_links*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -516,6 +535,7 @@
 extern bool_t xdr_bkp_well ();
 extern bool_t xdr_bkp_verdict ();
 extern bool_t xdr_bkp_verdicts ();
+extern bool_t xdr_bkp_links ();
 
 #endif /* K&R C */
 
--- a/include/bk/reach/reach.h
+++ b/include/bk/reach/reach.h
@@ -2,11 +2,11 @@
  * reach - whether this VM's links to upstreams work, and by way of which other
  * VM its requests go while they do not
  *
- * Pure. A VM can lose its links to all upstreams while callers, the store and
- * the other VMs still reach it. Open connections may hang, be reset, or live
- * on, so that only attempts to open new ones tell. The links count as lost when
- * attempts at several upstreams, at one of each service at least, have failed
- * and none has succeeded since; a single attempt that succeeds ends that.
+ * Pure. A VM can lose its links to all upstreams, or to those of a service,
+ * while callers, the store and the other VMs still reach it. Open connections
+ * may hang, be reset, or live on, so that only attempts to open new ones tell.
+ * The links to a service count as lost when attempts at several of its upstreams
+ * have failed and none has succeeded since; a single one that succeeds ends that.
  *
  * Units: times in ms on the monotonic clock. Upstreams, services and VMs are
  * named by the hashes of their names (BkStr_NameHash).
@@ -19,41 +19,36 @@
 
 enum {
     BK_REACH_QUORUM = 3, /* upstreams that did not accept a connection */
-    BK_REACH_MAX_FAILED = 16
+    /* refusals after which a VM takes a request whatever its load is */
+    BK_REACH_MAX_REFUSALS = 2
 };
 
-/* An upstream that did not accept a connection. */
-typedef struct BkReachFailure {
-    uint32_t upstream;
-    uint32_t service;
-} BkReachFailure;
-
+/* The links to the upstreams of one service. */
 typedef struct BkReach {
-    /* since the last success */
-    BkReachFailure failed[BK_REACH_MAX_FAILED];
+    uint32_t service;
+    /* upstreams that did not accept a connection, since the last success */
+    uint32_t failed[BK_REACH_QUORUM];
     int failed_count;
     BkMs connected_at; /* last success; BK_MS_NEVER: none yet */
     bool lost;
     BkMs lost_at;
 } BkReach;
 
-BkReach BkReach_Make(void);
+BkReach BkReach_Make(uint32_t service);
 
 /* An upstream accepted a connection. Returns whether the links were lost. */
 bool BkReach_NoteConnected(BkReach *reach, BkMs now);
 
 /* An attempt that began at started_at failed. It says nothing if another one
  * has succeeded since. */
-void BkReach_NoteFailed(BkReach *reach, uint32_t upstream, uint32_t service,
-                        BkMs started_at);
+void BkReach_NoteFailed(BkReach *reach, uint32_t upstream, BkMs started_at);
 
 /* Decides whether the links are lost, by the upstreams of the fleet that are
  * open. Returns true if they have just become so. */
 bool BkReach_Decide(BkReach *reach, const BkFleet *fleet, BkMs now);
 
-/* Chooses the upstream to which a connection is tried next: one of a service
- * that has not failed yet, else one that has not failed, else any. NULL if no
- * upstream is open. */
+/* Chooses the upstream to which a connection is tried next: one that has not
+ * failed, else any. NULL if none is open. */
 BkUp *BkReach_ChooseProbe(const BkReach *reach, const BkFleet *fleet,
                           BkRng *rng);
 
--- a/src/front/caller.c
+++ b/src/front/caller.c
@@ -210,10 +210,8 @@
                      (long long)(retry_after / BK_MS_PER_S),
                      (long long)(retry_after % BK_MS_PER_S));
     }
-    if (conn->elsewhere) {
-        FrDetour_PutElsewhere(&fields);
-        conn->elsewhere = false;
-    }
+    FrDetour_PutRefusal(conn->refusal, &fields);
+    conn->refusal = FR_NOT_REFUSED;
     BkBuf_Printf(&body, "{\"error\":\"%s\"}", why);
     FrCallerConn_Reply(conn, code, BkBuf_Str(&fields), BkBuf_Str(&body));
     BkBuf_Destroy(&fields);
@@ -323,6 +321,12 @@
     conn->parser = NULL;
 }
 
+static FrRefusal
+refuse_elsewhere(const FrCallerConn *conn)
+{
+    return conn->from_daemon ? FR_REFUSED_ELSEWHERE : FR_NOT_REFUSED;
+}
+
 /* Returns false if the request was rejected or the connection closed. */
 static bool
 check_head(FrCallerConn *conn, const BkH1Head *head)
@@ -334,13 +338,13 @@
     conn->http10 = head->minor == 0;
     conn->close_after_response = !head->keep_alive;
     if (front->site == NULL) {
-        conn->elsewhere = conn->from_daemon;
+        conn->refusal = refuse_elsewhere(conn);
         reject(conn, 503, "no configuration is known yet",
                NO_CONFIG_RETRY_AFTER);
         return false;
     }
     if (FrFront_RefusesRequests(front)) {
-        conn->elsewhere = conn->from_daemon;
+        conn->refusal = refuse_elsewhere(conn);
         reject(conn, 503, "the daemon is stopping", STOP_RETRY_AFTER);
         return false;
     }
--- a/src/front/detour.c
+++ b/src/front/detour.c
@@ -7,8 +7,8 @@
 #include "sync.h"
 
 enum {
-    /* ms in which a daemon that refused a request, or did not take it, is not
-       used */
+    /* ms in which a daemon that refused a request for another reason than its
+       load is not used */
     PEER_BACKOFF = 1000,
     RETRY_AFTER =
         200 /* ms; for the daemon that sent it, which does not wait */
@@ -16,6 +16,8 @@
 
 static const char field_name[] = "Bk-Detour";
 static const char elsewhere[] = "elsewhere";
+static const char full[] = "full";
+static const char links_lost_too[] = "it has lost its links too";
 
 /* The daemon as a target of requests; it is made anew when its address
    changes. */
@@ -45,28 +47,47 @@
     return false;
 }
 
+/* Whether the peer runs, and has not told that it has lost its links too. */
 static bool
-is_usable(const FrRequest *request, const FrPeer *peer, BkMs now)
+has_links(const FrRequest *request, const FrPeer *peer, BkMs now)
 {
     const FrPeers *peers = request->front->peers;
 
     return peer->seen.key != 0 && !peer->seen.stopping &&
            FrPeers_IsAlive(peers, peer, now) &&
-           (peer->target == NULL || now >= peer->target->avoid_until) &&
+           !FrLinks_HasPeerLost(peer, request->query.service, now);
+}
+
+static bool
+is_usable(const FrRequest *request, const FrPeer *peer, BkMs now)
+{
+    return (peer->target == NULL || now >= peer->target->avoid_until) &&
            !was_tried(request, peer);
 }
 
-static FrPeer *
+/* What a choice among the peers led to. */
+typedef struct Choice {
+    FrPeer *peer;   /* NULL: none is usable */
+    bool any_links; /* at least one peer has its links */
+    bool last;      /* no other one is left */
+} Choice;
+
+static Choice
 choose_peer(const FrRequest *request, BkMs now)
 {
     FrFront *front = request->front;
     const FrPeers *peers = front->peers;
     BkReachVm *vms = BkMem_New((size_t)peers->count + 1, sizeof(*vms));
     FrPeer **usable = BkMem_New((size_t)peers->count + 1, sizeof(*usable));
+    Choice choice = {0};
     int count = 0;
 
     for (int i = 0; i < peers->count; i++) {
         FrPeer *peer = peers->list[i];
+        if (!has_links(request, peer, now)) {
+            continue;
+        }
+        choice.any_links = true;
         if (is_usable(request, peer, now)) {
             vms[count] = (BkReachVm){
                 .near = peer->seen.domain == peers->roster.own_domain,
@@ -77,10 +98,11 @@
     }
     int chosen =
         BkReach_ChooseVm(vms, count, request->detour_count, &front->rng);
-    FrPeer *peer = chosen < 0 ? NULL : usable[chosen];
+    choice.peer = chosen < 0 ? NULL : usable[chosen];
+    choice.last = count == 1;
     free(vms);
     free(usable);
-    return peer;
+    return choice;
 }
 
 bool
@@ -88,29 +110,39 @@
 {
     const FrFront *front = request->front;
 
-    if (request->relayed || request->detour_count == FR_MAX_DETOURS ||
-        (!forced && !FrLinks_AreLost(front->links))) {
+    if (request->relayed ||
+        (!forced && !FrLinks_AreLost(front->links, request->query.service))) {
         return false;
     }
-    FrPeer *peer = choose_peer(request, now);
-    if (peer == NULL) {
-        return false;
+    Choice choice = choose_peer(request, now);
+    if (choice.peer != NULL && request->detour_count < FR_MAX_DETOURS) {
+        request->detours[request->detour_count++] = choice.peer->seen.key;
+        request->last_detour =
+            choice.last || request->detour_count == FR_MAX_DETOURS;
+        BkCounter_Add(front->metrics.detours, 1);
+        FrRequest_SendTo(request, get_target(choice.peer), now);
+        return true;
     }
-    request->detours[request->detour_count++] = peer->seen.key;
-    BkCounter_Add(front->metrics.detours, 1);
-    FrRequest_SendTo(request, get_target(peer), now);
-    return true;
+    if (choice.any_links) {
+        FrRequest_GiveUp(request, "no daemon with links could take it",
+                         RETRY_AFTER);
+        return true;
+    }
+    /* open connections may live on */
+    return false;
 }
 
 void
 FrDetour_PutFields(const FrRequest *request, BkBuf *out)
 {
     const FrFront *front = request->front;
+    int tries = request->last_detour ? BK_REACH_MAX_REFUSALS
+                                     : request->detour_count - 1;
 
     BkBuf_Printf(
         out, "%s: config=%llu,runs=%d,tries=%d,software=%u\r\n", field_name,
         (unsigned long long)(front->site == NULL ? 0 : front->site->version),
-        request->run_count, request->detour_count - 1,
+        request->run_count, tries,
         request->query.software);
 }
 
@@ -138,11 +170,17 @@
     return 0;
 }
 
+static void
+log_refusal(const char *request_id, const char *why)
+{
+    BkLog_Event(BK_LOG_INFO, "detour", request_id, "refused", "s:s", "why",
+                why);
+}
+
 void
-FrDetour_RefuseElsewhere(FrCallerConn *conn, const char *why)
+FrDetour_Refuse(FrCallerConn *conn, FrRefusal refusal, const char *why)
 {
-    BkLog_Event(BK_LOG_INFO, "detour", NULL, "refused", "s:s", "why", why);
-    conn->elsewhere = true;
+    conn->refusal = refusal;
     FrCallerConn_ReplyError(conn, 503, why, RETRY_AFTER);
 }
 
@@ -153,12 +191,12 @@
 
     if (!request->relayed || request->run_count > 0 ||
         request->stage != FR_WAITING ||
-        !FrLinks_AreLost(request->front->links)) {
+        !FrLinks_AreLost(request->front->links, request->query.service)) {
         return false;
     }
-    conn->elsewhere = true;
-    FrRequest_ReplyError(request, 503, "it has lost its links too",
-                         RETRY_AFTER);
+    log_refusal(request->id, links_lost_too);
+    conn->refusal = FR_REFUSED_ELSEWHERE;
+    FrRequest_ReplyError(request, 503, links_lost_too, RETRY_AFTER);
     return true;
 }
 
@@ -176,15 +214,12 @@
                          .software = (int64_t)read_number(text, "software")};
     if (out->config > front->site->version) {
         FrSync_CatchUp(front->sync, FR_TABLE_SITE, BkClock_Now());
-        FrDetour_RefuseElsewhere(conn, "its configuration is older");
-        return false;
-    }
-    if (FrLinks_AreLost(front->links)) {
-        FrDetour_RefuseElsewhere(conn, "it has lost its links too");
+        FrDetour_Refuse(conn, FR_REFUSED_ELSEWHERE,
+                        "its configuration is older");
         return false;
     }
     if (!BkReach_MayTake(front->relayed_count, own, (int)out->tries)) {
-        FrDetour_RefuseElsewhere(conn, "it has no room");
+        FrDetour_Refuse(conn, FR_REFUSED_FULL, "it has no room");
         return false;
     }
     return true;
@@ -196,14 +231,20 @@
     BkStr text = BkH1Head_Find(head, field_name);
 
     return (FrDetourReply){
-        .elsewhere = BkStr_Equal(text, BkStr_FromC(elsewhere)),
+        .refusal = BkStr_Equal(text, BkStr_FromC(elsewhere))
+                       ? FR_REFUSED_ELSEWHERE
+                   : BkStr_Equal(text, BkStr_FromC(full)) ? FR_REFUSED_FULL
+                                                          : FR_NOT_REFUSED,
         .software = (uint32_t)read_number(text, "software")};
 }
 
 void
-FrDetour_PutElsewhere(BkBuf *out)
+FrDetour_PutRefusal(FrRefusal refusal, BkBuf *out)
 {
-    BkBuf_Printf(out, "%s: %s\r\n", field_name, elsewhere);
+    if (refusal != FR_NOT_REFUSED) {
+        BkBuf_Printf(out, "%s: %s\r\n", field_name,
+                     refusal == FR_REFUSED_FULL ? full : elsewhere);
+    }
 }
 
 void
--- a/src/front/detour.h
+++ b/src/front/detour.h
@@ -10,8 +10,9 @@
  * The field Bk-Detour of a request has the version of the first daemon's
  * configuration, the runs that the request may have had, how many daemons have
  * refused it, and the software version that its stream is bound to; in a
- * response, the software version of the upstream, or the word "elsewhere": the
- * request was not run, and another daemon may serve it.
+ * response, the software version of the upstream, or a word: the request was not
+ * run, and another daemon may serve it ("elsewhere"), or this one too if no
+ * other does ("full").
  */
 #ifndef BK_FRONT_DETOUR_H
 #define BK_FRONT_DETOUR_H
@@ -29,7 +30,7 @@
 
 /* What the field of a response says. */
 typedef struct FrDetourReply {
-    bool elsewhere;
+    FrRefusal refusal;
     uint32_t software; /* key of its name; 0: not told */
 } FrDetourReply;
 
@@ -37,8 +38,8 @@
 void FrDetour_NoteRefusal(BkUp *target, BkMs now);
 
 /* Sends the request to another daemon if this one has lost its links, or
- * forced, if none of the upstreams for it could be connected to. Returns false
- * if it does not go that way. */
+ * forced, if none of the upstreams for it could be connected to; refuses it if
+ * no daemon with links takes it. Returns false if no daemon has links. */
 bool FrDetour_TrySend(FrRequest *request, bool forced, BkMs now);
 
 /* Appends the field to the head of a request that goes by way of another
@@ -55,7 +56,7 @@
 
 /* Refuses a request that came by way of another daemon, which is to try a
  * third one. */
-void FrDetour_RefuseElsewhere(FrCallerConn *conn, const char *why);
+void FrDetour_Refuse(FrCallerConn *conn, FrRefusal refusal, const char *why);
 
 /* Does so for a request that has not run, if this daemon has lost its links
  * meanwhile. Returns whether it did. */
@@ -64,8 +65,9 @@
 FrDetourReply FrDetour_ReadReply(const BkH1Head *head);
 
 /* Append the field to the response to a request that came by way of another
- * daemon: the word "elsewhere", or the version of its upstream. */
-void FrDetour_PutElsewhere(BkBuf *out);
+ * daemon: a word for the refusal, if it is one, or the version of its
+ * upstream. */
+void FrDetour_PutRefusal(FrRefusal refusal, BkBuf *out);
 void FrDetour_PutSoftware(const FrRequest *request, BkBuf *out);
 
 #endif
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -89,6 +89,13 @@
     BkCounter *stray_responses;
 } FrMetrics;
 
+/* Why a daemon does not take a request that came by way of another one. */
+typedef enum FrRefusal {
+    FR_NOT_REFUSED,
+    FR_REFUSED_ELSEWHERE, /* it cannot serve it, but another one may */
+    FR_REFUSED_FULL       /* it serves it only if no other one does */
+} FrRefusal;
+
 typedef struct FrListener {
     FrFront *front;
     int fd; /* -1: it is closed */
@@ -189,8 +196,8 @@
     /* start of the current state: idle, reading or lingering */
     BkMs state_since;
     bool from_daemon; /* the caller is another daemon: detour.h */
-    /* that daemon is to send the current request to a third one */
-    bool elsewhere;
+    /* of the current request, for that daemon */
+    FrRefusal refusal;
     bool head_checked;
     bool body_too_large; /* the current request's body is over the limit */
     bool http10;
@@ -364,6 +371,7 @@
     /* keys of the daemons by way of which it was sent */
     uint32_t detours[FR_MAX_DETOURS];
     int detour_count;
+    bool last_detour; /* no further daemon is left */
     int run_count;    /* failed attempts that may have run */
     int last_up_code; /* status of the last response from an upstream */
 
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -1,89 +1,201 @@
 #include "links.h"
 
 #include <stdlib.h>
+#include <string.h>
 
 #include "bk/base/log.h"
 
 enum {
     UNDECIDED_INTERVAL = 100, /* ms between probes after a failure */
-    LOST_INTERVAL = 250       /* ms between probes while the links are lost */
+    LOST_INTERVAL = 250,      /* ms between probes while the links are lost */
+    TELL_INTERVAL = 1000,     /* ms between messages while links are lost */
+    /* ms without a message until a peer counts as having its links again:
+       several intervals, since datagrams are lost */
+    TOLD_TIMEOUT = 2500
 };
 
-struct FrLinks {
-    FrFront *front;
+/* The links to one service. */
+typedef struct Row {
+    FrLinks *links;
     BkReach reach;
     BkTimer *probe_timer;
+} Row;
+
+struct FrLinks {
+    FrFront *front;
+    Row rows[FR_MAX_SERVICES];
+    int count;
+    BkTimer *tell_timer;
     BkCounter *lost; /* gauge */
     BkCounter *probes;
 };
 
 static void
-send_probe(FrLinks *links)
+on_probe_timer(void *arg)
 {
+    Row *row = arg;
+    FrLinks *links = row->links;
     FrFront *front = links->front;
-    BkUp *up = BkReach_ChooseProbe(&links->reach, &front->fleet, &front->rng);
 
+    if (row->reach.failed_count == 0 || front->stopping) {
+        return;
+    }
+    BkUp *up = BkReach_ChooseProbe(&row->reach, &front->fleet, &front->rng);
     if (up != NULL && FrUpConn_OpenIdle(front, up)) {
         BkCounter_Add(links->probes, 1);
     }
+    BkTimer_Start(row->probe_timer,
+                  row->reach.lost ? LOST_INTERVAL : UNDECIDED_INTERVAL);
+}
+
+static Row *
+find_row(FrLinks *links, uint32_t service)
+{
+    for (int i = 0; i < links->count; i++) {
+        if (links->rows[i].reach.service == service) {
+            return &links->rows[i];
+        }
+    }
+    return NULL;
+}
+
+/* NULL: there is no room for another service */
+static Row *
+find_or_add_row(FrLinks *links, uint32_t service)
+{
+    Row *row = find_row(links, service);
+
+    if (row == NULL && links->count < FR_MAX_SERVICES) {
+        row = &links->rows[links->count++];
+        row->links = links;
+        row->reach = BkReach_Make(service);
+        row->probe_timer =
+            BkTimer_Create(links->front->loop, on_probe_timer, row);
+    }
+    return row;
 }
 
 static void
-on_probe_timer(void *arg)
+tell_peers(FrLinks *links)
 {
-    FrLinks *links = arg;
+    FrFront *front = links->front;
+    uint32_t lost[FR_MAX_SERVICES];
+    u_int count = 0;
 
-    if (links->reach.failed_count == 0 || links->front->stopping) {
-        return;
+    for (int i = 0; i < links->count; i++) {
+        if (links->rows[i].reach.lost) {
+            lost[count++] = links->rows[i].reach.service;
+        }
+    }
+    bkp_links message = {.name = front->conf.name,
+                         .started_at = front->wall_started_at,
+                         .lost = {count, lost}};
+    FrPeers_Spread(front->peers, BKP_LINKS, &message, &message.spread);
+    if (count > 0) {
+        BkTimer_Start(links->tell_timer, TELL_INTERVAL);
+    }
+    else {
+        BkTimer_Stop(links->tell_timer);
+    }
+}
+
+static void
+on_tell_timer(void *arg)
+{
+    tell_peers(arg);
+}
+
+static void
+log_change(FrLinks *links, const BkUp *up, const char *event, BkMs lasted)
+{
+    BkCounter_Add(links->lost, lasted < 0 ? 1 : -1);
+    BkLog_Event(BK_LOG_NOTICE, "links", NULL, event, "s:s, s:I", "service",
+                up->service, "after_ms",
+                (json_int_t)(lasted < 0 ? 0 : lasted));
+    tell_peers(links);
+    FrQueue_SchedulePass(links->front, 0);
+}
+
+void
+FrLinks_HandleTold(FrLinks *links, const bkp_links *told, BkMs now)
+{
+    FrPeers *peers = links->front->peers;
+    FrPeer *peer = FrPeers_Find(peers, BkStr_FromC(told->name));
+    bkp_links copy = *told;
+
+    FrPeers_ForwardSpread(peers, BKP_LINKS, &copy, &copy.spread);
+    if (peer == NULL || peer->started_at > told->started_at) {
+        return; /* not known yet, or of its process before */
     }
-    send_probe(links);
-    BkTimer_Start(links->probe_timer,
-                  links->reach.lost ? LOST_INTERVAL : UNDECIDED_INTERVAL);
+    peer->lost_told_at = now;
+    peer->lost_count = told->lost.lost_len;
+    memcpy(peer->lost_services, told->lost.lost_val,
+           peer->lost_count * sizeof(peer->lost_services[0]));
+    FrQueue_SchedulePass(links->front, 0);
+}
+
+bool
+FrLinks_HasPeerLost(const FrPeer *peer, uint32_t service, BkMs now)
+{
+    for (u_int i = 0;
+         i < peer->lost_count && now - peer->lost_told_at < TOLD_TIMEOUT;
+         i++) {
+        if (peer->lost_services[i] == service) {
+            return true;
+        }
+    }
+    return false;
 }
 
 void
-FrLinks_NoteConnected(FrLinks *links, BkMs now)
+FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs now)
 {
-    BkMs lost_at = links->reach.lost_at;
+    Row *row = find_or_add_row(links, up->service_key);
 
-    if (BkReach_NoteConnected(&links->reach, now)) {
-        BkCounter_Set(links->lost, 0);
-        BkLog_Event(BK_LOG_NOTICE, "links", NULL, "links regained", "s:I",
-                    "after_ms", (json_int_t)(now - lost_at));
-        FrQueue_SchedulePass(links->front, 0);
+    if (row != NULL && BkReach_NoteConnected(&row->reach, now)) {
+        log_change(links, up, "links regained", now - row->reach.lost_at);
     }
 }
 
 void
 FrLinks_NoteFailed(FrLinks *links, const BkUp *up, BkMs started_at)
 {
-    if (!BkUp_IsOpen(up)) {
+    Row *row = find_or_add_row(links, up->service_key);
+
+    if (row == NULL || !BkUp_IsOpen(up)) {
         return;
     }
-    BkReach_NoteFailed(&links->reach, up->key, up->service_key, started_at);
-    if (BkReach_Decide(&links->reach, &links->front->fleet, BkClock_Now())) {
-        BkCounter_Set(links->lost, 1);
-        BkLog_Event(BK_LOG_NOTICE, "links", NULL, "links lost", "s:i",
-                    "failed", links->reach.failed_count);
-        FrQueue_SchedulePass(links->front, 0);
+    BkReach_NoteFailed(&row->reach, up->key, started_at);
+    if (BkReach_Decide(&row->reach, &links->front->fleet, BkClock_Now())) {
+        log_change(links, up, "links lost", -1);
     }
-    if (links->reach.failed_count > 0 &&
-        !BkTimer_Running(links->probe_timer)) {
-        BkTimer_Start(links->probe_timer, 0);
+    if (row->reach.failed_count > 0 && !BkTimer_Running(row->probe_timer)) {
+        BkTimer_Start(row->probe_timer, 0);
     }
 }
 
 bool
-FrLinks_AreLost(const FrLinks *links)
+FrLinks_AreLost(const FrLinks *links, uint32_t service)
 {
-    return links->reach.lost;
+    const Row *row = find_row((FrLinks *)links, service);
+
+    return row != NULL && row->reach.lost;
 }
 
 bool
-FrLinks_WorkedSince(const FrLinks *links, BkMs at)
+FrLinks_AreEnginesLost(const FrLinks *links)
 {
-    return links->reach.connected_at != BK_MS_NEVER &&
-           links->reach.connected_at >= at;
+    const BkSite *site = links->front->site;
+
+    for (int i = 0; site != NULL && i < site->service_count; i++) {
+        const BkSiteService *service = &site->services[i];
+        if (service->engine != NULL &&
+            FrLinks_AreLost(links,
+                            BkStr_NameHash(BkStr_FromC(service->name)))) {
+            return true;
+        }
+    }
+    return false;
 }
 
 FrLinks *
@@ -92,10 +204,10 @@
     FrLinks *links = BkMem_New(1, sizeof(*links));
 
     links->front = front;
-    links->reach = BkReach_Make();
-    links->probe_timer = BkTimer_Create(front->loop, on_probe_timer, links);
+    links->tell_timer = BkTimer_Create(front->loop, on_tell_timer, links);
     links->lost = BkCounter_Get("bk_front_links_lost", NULL,
-                                "whether no upstream can be connected to");
+                                "services of which no upstream can be "
+                                "connected to");
     links->probes =
         BkCounter_Get("bk_front_link_probes_total", NULL,
                       "connections opened to find out whether links work");
@@ -108,6 +220,9 @@
     if (links == NULL) {
         return;
     }
-    BkTimer_Destroy(links->probe_timer);
+    for (int i = 0; i < links->count; i++) {
+        BkTimer_Destroy(links->rows[i].probe_timer);
+    }
+    BkTimer_Destroy(links->tell_timer);
     free(links);
 }
--- a/src/front/links.h
+++ b/src/front/links.h
@@ -3,27 +3,36 @@
  *
  * Each attempt to connect to an upstream tells (up_conn.c). After a failure,
  * and while the links are lost, this file tries further upstreams; a connection
- * that one of them accepts is kept for requests.
+ * that one of them accepts is kept for requests. It tells all other daemons
+ * which links are lost.
  */
 #ifndef BK_FRONT_LINKS_H
 #define BK_FRONT_LINKS_H
 
 #include "bk/reach/reach.h"
-#include "front.h"
+#include "peers.h"
 
 FrLinks *FrLinks_Create(FrFront *front);
 void FrLinks_Destroy(FrLinks *links);
 
 /* The upstream accepted a connection. */
-void FrLinks_NoteConnected(FrLinks *links, BkMs now);
+void FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs now);
 
 /* An attempt to connect to the upstream, begun at started_at, has failed. */
 void FrLinks_NoteFailed(FrLinks *links, const BkUp *up, BkMs started_at);
 
-/* Whether no upstream can be connected to, although the store lists some. */
-bool FrLinks_AreLost(const FrLinks *links);
+/* A peer has told which links it has lost. */
+void FrLinks_HandleTold(FrLinks *links, const bkp_links *told, BkMs now);
 
-/* Whether an upstream accepted a connection at that time or later. */
-bool FrLinks_WorkedSince(const FrLinks *links, BkMs at);
+/* Whether the peer has told lately that it has lost the links to the
+ * service. */
+bool FrLinks_HasPeerLost(const FrPeer *peer, uint32_t service, BkMs now);
+
+/* Whether no upstream of the service can be connected to, although the store
+ * lists some. */
+bool FrLinks_AreLost(const FrLinks *links, uint32_t service);
+
+/* The same for the engines of any service. */
+bool FrLinks_AreEnginesLost(const FrLinks *links);
 
 #endif
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -8,6 +8,7 @@
 #include "bk/net/datagram.h"
 #include "bk/spread/spread.h"
 #include "admission.h"
+#include "links.h"
 #include "origins.h"
 #include "planner.h"
 #include "quarantine.h"
@@ -497,6 +498,14 @@
                                 BkClock_Now());
 }
 
+static void
+handle_links(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrLinks_HandleTold(peers->front->links, message, BkClock_Now());
+}
+
 static const BkDatagramProc procs[] = {
     {BKP_ASK, "ask", (xdrproc_t)xdr_bkp_ask, sizeof(bkp_ask), handle_ask},
     {BKP_CHANGES, "changes", (xdrproc_t)xdr_bkp_changes, sizeof(bkp_changes),
@@ -507,6 +516,8 @@
      handle_demands},
     {BKP_GRANT, "grant", (xdrproc_t)xdr_bkp_grant, sizeof(bkp_grant),
      handle_grant},
+    {BKP_LINKS, "links", (xdrproc_t)xdr_bkp_links, sizeof(bkp_links),
+     handle_links},
     {BKP_GOSSIP, "news", (xdrproc_t)xdr_bkp_gossip, sizeof(bkp_gossip),
      handle_gossip},
     {BKP_ORIGIN_ANSWER, "origin answer", (xdrproc_t)xdr_bkp_origin_answer,
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -42,6 +42,10 @@
     /* asks in a row that it, as a coordinator, did not answer */
     int unanswered_asks;
     BkMs skip_until; /* until then, it is not used as a coordinator */
+    /* services whose upstreams it cannot connect to, as it told */
+    uint32_t lost_services[BKP_MAX_LOST];
+    u_int lost_count;
+    BkMs lost_told_at;
     /* for requests that go by way of it (detour.h); NULL: none did yet */
     BkUp *target;
 };
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -454,7 +454,7 @@
 maybe_resign(FrPlanner *planner, BkMs now)
 {
     const FrFront *front = planner->front;
-    bool lost = FrLinks_AreLost(front->links);
+    bool lost = FrLinks_AreEnginesLost(front->links);
 
     if (!FrSync_IsStoreFailing(front->sync)) {
         planner->store_ok_at = now;
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -135,8 +135,10 @@
     if (not_run) {
         request->arrival_count--;
     }
-    if (reply.elsewhere) {
-        FrDetour_NoteRefusal(request->up, BkClock_Now());
+    if (reply.refusal != FR_NOT_REFUSED) {
+        if (reply.refusal == FR_REFUSED_ELSEWHERE) {
+            FrDetour_NoteRefusal(request->up, BkClock_Now());
+        }
         release_connection(request);
         FrRequest_FailAttempt(request, false, false,
                               "the other daemon could not take it");
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -379,7 +379,7 @@
     }
     BkTimer_Stop(conn->timer);
     if (!conn->up->is_daemon) {
-        FrLinks_NoteConnected(conn->front->links, BkClock_Now());
+        FrLinks_NoteConnected(conn->front->links, conn->up, BkClock_Now());
     }
     if (conn->request == NULL) {
         make_idle(conn);
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -605,3 +605,20 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_links (XDR *xdrs, bkp_links *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_bkp_spread (xdrs, &objp->spread))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->name, BKP_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->started_at))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->lost.lost_val, (u_int *) &objp->lost.lost_len, BKP_MAX_LOST,
+		sizeof (u_int), (xdrproc_t) xdr_u_int))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -21,6 +21,7 @@
 const BKP_MAX_SUSPECTS = 24;
 const BKP_MAX_WELL_RUNS = 24;
 const BKP_MAX_VERDICTS = 16;
+const BKP_MAX_LOST = 64;
 
 /* load that the sender causes at an upstream */
 struct bkp_load {
@@ -323,6 +324,15 @@
     bkp_verdict rows<BKP_MAX_VERDICTS>;
 };
 
+/* the services whose upstreams the sender cannot connect to, sent to all
+   daemons when that changes, and again while there are any */
+struct bkp_links {
+    bkp_spread spread;
+    string name<BKP_MAX_NAME>;    /* name of the sender */
+    unsigned hyper started_at;    /* its start time, in ms since 1970 */
+    unsigned int lost<BKP_MAX_LOST>;
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_GOSSIP(bkp_gossip) = 1;
@@ -341,5 +351,6 @@
         void BKP_CRASH(bkp_crash) = 15;
         void BKP_WELL(bkp_well) = 16;
         void BKP_VERDICTS(bkp_verdicts) = 17;
+        void BKP_LINKS(bkp_links) = 18;
     } = 2;
 } = 0x20426b02;
--- a/src/reach/relay.c
+++ b/src/reach/relay.c
@@ -2,9 +2,7 @@
 
 enum {
     /* requests of other VMs that a VM takes though it has fewer of its own */
-    MIN_RELAYED = 8,
-    /* refusals after which a VM takes a request whatever its load is */
-    MAX_REFUSALS = 2
+    MIN_RELAYED = 8
 };
 
 static bool
@@ -48,5 +46,6 @@
 bool
 BkReach_MayTake(int relayed, int own, int tries)
 {
-    return tries >= MAX_REFUSALS || relayed < MIN_RELAYED || relayed < own;
+    return tries >= BK_REACH_MAX_REFUSALS || relayed < MIN_RELAYED ||
+           relayed < own;
 }
--- a/tests/proof/case_front_recover.py
+++ b/tests/proof/case_front_recover.py
@@ -172,3 +172,22 @@
     for _ in range(5):
         code = Caller(front).ask("/once/", b"")[0]
         check(code == 200, "%d", code)
+
+
+@case
+def recover_few_are_left(world):
+    """Six of eight VMs lose their links: the two others take the requests of
+    all, also above their own number, and no VM sends requests to one that is
+    known to be cut off as well."""
+    names = ["f-%d" % n for n in range(8)]
+    _, replicas, fronts = serve_linked(world, names)
+    cut = fronts[:6]
+    for front in cut:
+        front.links.cut("hang")
+    tallies = press_all(fronts, CONTACT_S)
+    before = sum(len(x.events("refused")) for x in cut)
+    after = press_all(fronts, 3, 6)
+    check_served_like_others(after[:6], after[6:])
+    check_runs(replicas, tallies + after)
+    late = sum(len(x.events("refused")) for x in cut) - before
+    check(late == 0, "%d requests went to VMs that are cut off", late)
