quarantine: report no crash while the daemon's own links may have failed

Cause: an upstream that accepts no connection counted as ended, though the daemon could reach no other one either; two VMs cut off in turn were two crashes.

--- a/src/front/breaks.c
+++ b/src/front/breaks.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "bk/base/log.h"
+#include "links.h"
 #include "request.h"
 #include "socket.h"
 
@@ -14,7 +15,11 @@
        together */
     COLLECT_TIME = 20,
     /* ms; an upstream that accepts no connection for so long has ended */
-    CONNECT_TIMEOUT = 300
+    CONNECT_TIMEOUT = 300,
+    /* ms in which another upstream must accept a connection: else this
+       daemon's links may have failed, and not the process */
+    CONFIRM_TIME = 600,
+    CONFIRM_INTERVAL = 20 /* ms */
 };
 
 typedef enum BreakState {
@@ -89,6 +94,8 @@
     BkMs rest = broken->at + COLLECT_TIME - BkClock_Now();
 
     close_connection(broken);
+    FrLinks_NoteFailed(broken->quarantine->front->links, broken->up,
+                       broken->at);
     broken->state = BREAK_ENDED;
     BkTimer_Start(broken->timer, rest > 0 ? rest : 0);
 }
@@ -106,21 +113,53 @@
         return;
     }
     close_connection(broken);
+    FrLinks_NoteConnected(broken->quarantine->front->links, broken->up,
+                          BkClock_Now());
     broken->state = BREAK_ALIVE;
     BkTimer_Start(broken->timer, COLLECT_TIME);
 }
 
+/* Whether to wait until it is known that this daemon's links work. Logs a crash
+   that is not to be reported, since they do not. */
+static bool
+awaits_links(FrBreak *broken, bool *dropped)
+{
+    const FrLinks *links = broken->quarantine->front->links;
+    BkMs age = BkClock_Now() - broken->at;
+
+    *dropped = false;
+    if (FrLinks_WorkedSince(links, broken->up, broken->at)) {
+        return false;
+    }
+    if (age < CONFIRM_TIME) {
+        BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
+        return true;
+    }
+    *dropped = true;
+    BkLog_Event(BK_LOG_INFO, "quarantine", NULL, "crash not reported",
+                "s:s, s:i, s:s", "upstream", broken->up->id, "suspects",
+                broken->count, "why",
+                "no other upstream can be connected to either");
+    return false;
+}
+
 static void
 on_timer(void *arg)
 {
     FrBreak *broken = arg;
+    bool dropped;
 
     switch (broken->state) {
     case BREAK_CONNECTING:
         set_ended(broken);
         return;
     case BREAK_ENDED:
-        report(broken);
+        if (awaits_links(broken, &dropped)) {
+            return;
+        }
+        if (!dropped) {
+            report(broken);
+        }
         break;
     case BREAK_ALIVE:
         BkLog_Event(BK_LOG_DEBUG, "quarantine", NULL, "upstream did not crash",
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -174,6 +174,27 @@
     }
 }
 
+bool
+FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at)
+{
+    const Row *row = find_row((FrLinks *)links, up->service_key);
+    const BkFleet *fleet = &links->front->fleet;
+    int others = 0;
+
+    if (row != NULL && row->reach.connected_at != BK_MS_NEVER &&
+        row->reach.connected_at >= at && row->reach.failed_count == 0) {
+        return true;
+    }
+    for (int i = 0; i < fleet->count; i++) {
+        const BkUp *other = fleet->ups[i];
+        others += other != up && other->service_key == up->service_key &&
+                          BkUp_IsOpen(other)
+                      ? 1
+                      : 0;
+    }
+    return others == 0;
+}
+
 bool
 FrLinks_AreLost(const FrLinks *links, uint32_t service)
 {
--- a/src/front/links.h
+++ b/src/front/links.h
@@ -28,6 +28,11 @@
  * service. */
 bool FrLinks_HasPeerLost(const FrPeer *peer, uint32_t service, BkMs now);
 
+/* Whether an upstream of the same service accepted a connection at that time
+ * or later, and none failed to since; also true if this is the only one that is
+ * open. */
+bool FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at);
+
 /* Whether no upstream of the service can be connected to, although the store
  * lists some. */
 bool FrLinks_AreLost(const FrLinks *links, uint32_t service);
--- a/tests/proof/case_front_recover.py
+++ b/tests/proof/case_front_recover.py
@@ -14,6 +14,7 @@
 MIN_SHARE = 2 / 3  # of the first tries, compared with those at other VMs
 MORE_CALLERS = 12  # than there are open connections to upstreams
 ANSWER_TIME_S = 0.1
+VERDICT_S = 0.7  # after crashes, until requests may be refused for them
 NUMBERS = itertools.count()
 PATHS = ("/safe/", "/once/", "/flow/", "/again/")
 
@@ -191,3 +192,29 @@
     check_runs(replicas, tallies + after)
     late = sum(len(x.events("refused")) for x in cut) - before
     check(late == 0, "%d requests went to VMs that are cut off", late)
+
+
+@case
+def recover_convicts_nobody(world):
+    """A request that breaks off at two VMs in turn, since the links of each
+    are reset, is not taken for one that crashes upstreams."""
+    _, replicas, fronts = serve_linked(world, ["f-1", "f-2", "f-3"])
+    for replica in replicas:
+        replica.handlers = [lambda req, sock: (
+            time.sleep(1), sock.sendall(sealed(req)))[0]]
+    for n, front in enumerate(fronts[:2]):
+        threads = [threading.Thread(target=lambda: Caller(front).ask(
+            "/once/only", b"")) for _ in range(4)]
+        for thread in threads:
+            thread.start()
+        wait("they run", lambda: sum(
+            len(x.runs) for x in replicas) == 4 * (n + 1))
+        front.links.cut("reset")
+        for thread in threads:
+            thread.join()
+    for replica in replicas:
+        replica.handlers = [answer_slowly]
+    time.sleep(VERDICT_S)
+    for front in fronts:
+        code = Caller(front).ask("/once/only", b"")[0]
+        check(code == 200, "%d at %s", code, front.name)
