room: keep to the room of upstreams that fall over when they refuse requests

Daemons sent up to twice as many requests as a plain upstream has slots, and saw each other's only after the fact. While a service is brittle, each request now needs a grant of its upstream's coordinator, which admits as many at once as there are slots, or fewer once the upstream has refused one (slice room: the place grows again by one in 1.5 s). Without an answer nothing is sent. A new coordinator goes by what was told of the total until all daemons have told it their load. The word of one upstream counts for its service; a response without it ends that.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -24,6 +24,7 @@
 #include "bk/base/clock.h"
 #include "bk/fleet/report.h"
 #include "bk/origin/origin.h"
+#include "bk/room/room.h"
 #include "bk/throttle/throttle.h"
 
 enum {
@@ -108,6 +109,7 @@
     int64_t counted_prompt_tokens;
     /* until then, this daemon was asked lately as the coordinator */
     BkMs coordinated_until;
+    BkMs coordinated_since; /* since when it has been, without a break */
     /* load of the others as the coordinator counted it */
     int told_running;
     int64_t told_prompt_tokens;
@@ -117,6 +119,8 @@
     BkMs full_until;
     /* what it asked for in its responses; its hold-off holds for this daemon */
     BkThrottle throttle;
+    /* as its coordinator, if its service is brittle */
+    BkRoom room;
     BkMs throttled_until; /* until then, its rate limit admits no request */
 
     /* health, as derived from its responses */
--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -60,6 +60,10 @@
        names no limit */
     double rate_limit;
     bool bad_rate_limit; /* it names a limit that is no number from 0 on */
+    /* requests in a second that it can refuse for want of room without falling
+       over; negative: it names none */
+    int64_t max_refusals;
+    bool bad_max_refusals; /* it names one that is no number from 0 on */
     bool leaving;        /* it gets no new requests from now on */
     bool bad_leaving;    /* the field has another value than the known one */
     /* ms in which it wants nothing from this daemon, named in a refusal (503);
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -249,6 +249,12 @@
 };
 typedef struct bkp_origin bkp_origin;
 
+struct bkp_refused {
+	char *name;
+	bkp_load load;
+};
+typedef struct bkp_refused bkp_refused;
+
 struct bkp_origins {
 	struct {
 		u_int rows_len;
@@ -407,6 +413,9 @@
 #define BKP_LINKS 18
 extern  void * bkp_links_2(bkp_links *, CLIENT *);
 extern  void * bkp_links_2_svc(bkp_links *, struct svc_req *);
+#define BKP_REFUSED 19
+extern  void * bkp_refused_2(bkp_refused *, CLIENT *);
+extern  void * bkp_refused_2_svc(bkp_refused *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -458,6 +467,9 @@
 #define BKP_LINKS 18
 extern  void * bkp_links_2();
 extern  void * bkp_links_2_svc();
+#define BKP_REFUSED 19
+extern  void * bkp_refused_2();
+extern  void * bkp_refused_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -487,6 +499,7 @@
 extern  bool_t xdr_bkp_grant (XDR *, bkp_grant*);
 extern  bool_t xdr_bkp_load_update (XDR *, bkp_load_update*);
 extern  bool_t xdr_bkp_origin (XDR *, bkp_origin*);
+extern  bool_t xdr_bkp_refused (XDR *, bkp_refused*);
 extern  bool_t xdr_bkp_origins (XDR *, bkp_origins*);
 extern  bool_t xdr_bkp_origin_ask (XDR *, bkp_origin_ask*);
 extern  bool_t xdr_bkp_origin_kind (XDR *, bkp_origin_kind*);
@@ -524,6 +537,7 @@
 extern bool_t xdr_bkp_grant ();
 extern bool_t xdr_bkp_load_update ();
 extern bool_t xdr_bkp_origin ();
+extern bool_t xdr_bkp_refused ();
 extern bool_t xdr_bkp_origins ();
 extern bool_t xdr_bkp_origin_ask ();
 extern bool_t xdr_bkp_origin_kind ();
--- a/src/front/admission.c
+++ b/src/front/admission.c
@@ -29,9 +29,9 @@
     /* ms, at most, by which the further asks of daemons are spread when a
        rate limit admitted none of them */
     DENIAL_SPREAD = 150,
-    /* ms in which a daemon with own load at an upstream counts as its
-       coordinator: longer than the interval above */
-    COORDINATION_TIME = 2000
+    /* ms in which the coordinator itself does not use a brittle upstream that
+       has no room */
+    FULL_PAUSE = 5
 };
 
 /* a rate limit in a message counts in this part of a request a second */
@@ -97,7 +97,7 @@
         up->load_unsent = false;
         const FrPeer *coordinator = find_coordinator(front, up, now);
         if (coordinator == NULL) {
-            up->coordinated_until = now + COORDINATION_TIME;
+            FrLoads_NoteCoordination(up, now);
         }
         else {
             bkp_load_update message = {front->conf.name, own_load(up)};
@@ -168,6 +168,19 @@
            (BkMs)BkRng_Below(&front->rng, DENIAL_SPREAD);
 }
 
+/* Requests in progress there, of all daemons. */
+static int
+count_running(const BkUp *up)
+{
+    return up->own_running + up->peer_running;
+}
+
+static int
+get_room(const BkUp *up, BkMs now)
+{
+    return BkRoom_Get(&up->room, up->slots, now);
+}
+
 FrAskResult
 FrAdmission_Ask(FrAdmission *admission, FrRequest *request, BkMs now)
 {
@@ -177,7 +190,12 @@
     if (coordinator == NULL) {
         /* this daemon is the coordinator, and its count of the load allowed
            the upstream to be chosen */
-        request->up->coordinated_until = now + COORDINATION_TIME;
+        FrLoads_NoteCoordination(request->up, now);
+        if (FrSignals_IsBrittle(front, request->up->service_key) &&
+            count_running(request->up) > get_room(request->up, now)) {
+            request->up->full_until = now + FULL_PAUSE;
+            return FR_ASK_DENIED;
+        }
         BkMs delay = take_from_limit(front, request->up, now);
         if (delay > 0) {
             request->up->throttled_until = now + delay;
@@ -245,7 +263,8 @@
         (u_int)(up->own_prompt_tokens + up->peer_prompt_tokens) -
             load_before.prompt_tokens};
     note_limit(up, &ask->limit, now);
-    if (FrRequest_IsUpFull(front, up, ask->prompt_tokens)) {
+    if (count_running(up) >= get_room(up, now) ||
+        FrRequest_IsUpFull(front, up, ask->prompt_tokens)) {
         grant.granted = 0;
     }
     else {
@@ -285,6 +304,43 @@
                           now);
 }
 
+/* As the coordinator: the upstream refused a request that is still counted. */
+static void
+note_refusal(BkUp *up, BkMs now)
+{
+    BkRoom_NoteRefusal(&up->room, count_running(up) - 1, up->slots, now);
+    BkLog_Event(BK_LOG_INFO, "keeper", NULL, "room", "s:s, s:i", "upstream",
+                up->id, "requests", get_room(up, now));
+}
+
+void
+FrAdmission_NoteRefusal(FrAdmission *admission, BkUp *up, BkMs now)
+{
+    FrFront *front = admission->front;
+    const FrPeer *coordinator = find_coordinator(front, up, now);
+
+    if (coordinator == NULL) {
+        note_refusal(up, now);
+        return;
+    }
+    bkp_refused message = {front->conf.name, own_load(up)};
+    FrPeers_Send(front->peers, coordinator, BKP_REFUSED, &message);
+}
+
+void
+FrAdmission_HandleRefused(FrAdmission *admission, const bkp_refused *message,
+                          BkMs now)
+{
+    FrFront *front = admission->front;
+    FrPeer *peer = FrPeers_Find(front->peers, BkStr_FromC(message->name));
+    BkUp *up = BkFleet_FindByKey(&front->fleet, message->load.up);
+
+    if (peer != NULL && up != NULL) {
+        FrLoads_SetOne(front, peer, &message->load, now);
+        note_refusal(up, now);
+    }
+}
+
 void
 FrAdmission_HandleLoad(FrAdmission *admission, const bkp_load_update *message,
                        BkMs now)
@@ -335,7 +391,10 @@
         }
         note_unanswered(admission, request->coordinator, now);
         FrAdmission_Cancel(admission, request);
-        bool limited = BkThrottle_IsLimited(&request->up->throttle);
+        /* an upstream in need gets nothing without a grant */
+        bool limited =
+            BkThrottle_IsLimited(&request->up->throttle) ||
+            FrSignals_IsBrittle(request->front, request->up->service_key);
         FrRequest_OnAskAnswer(request, !limited,
                               limited ? UNANSWERED_PAUSE : 0, now);
     }
--- a/src/front/admission.h
+++ b/src/front/admission.h
@@ -24,6 +24,9 @@
  * upstream named a rate limit; a coordinator that repeatedly does not answer is
  * not used for a while.
  *
+ * While a service is brittle (bk/room), its upstreams get requests only by
+ * grants too, as many at once as the coordinator knows to have room.
+ *
  * In logs and metrics, the coordinator is called the keeper.
  */
 #ifndef BK_FRONT_ADMISSION_H
@@ -80,4 +83,10 @@
 void FrAdmission_HandleLoad(FrAdmission *admission,
                             const bkp_load_update *message, BkMs now);
 
+/* A brittle upstream refused this daemon's request, which its load still
+ * includes, for want of room: its coordinator admits fewer. */
+void FrAdmission_NoteRefusal(FrAdmission *admission, BkUp *up, BkMs now);
+void FrAdmission_HandleRefused(FrAdmission *admission,
+                               const bkp_refused *message, BkMs now);
+
 #endif
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -4,6 +4,7 @@
 #include "planner.h"
 #include "quarantine.h"
 #include "request.h"
+#include "signals.h"
 
 #include <stdio.h>
 
@@ -160,7 +161,8 @@
     up->own_running++;
     up->own_prompt_tokens += request->query.prompt_tokens;
     request->prompt_counted = true;
-    if (request->query.model == 0 && !BkThrottle_IsLimited(&up->throttle)) {
+    if (request->query.model == 0 && !BkThrottle_IsLimited(&up->throttle) &&
+        !FrSignals_IsBrittle(request->front, up->service_key)) {
         FrAdmission_NoteLoadChange(request->front->admission, up);
         send_request(request, now);
         return true;
@@ -200,19 +202,23 @@
 }
 
 static BkPickConf
-make_pick_conf(const FrFront *front)
+make_pick_conf(const FrFront *front, uint32_t service)
 {
+    bool brittle = FrSignals_IsBrittle(front, service);
+
     return (BkPickConf){.prefill_window = front->conf.prefill_window,
                         .tokens_per_run = front->conf.tokens_per_run,
                         .affinity_slack = front->conf.affinity_slack,
                         .cross_domain_cost = front->conf.cross_domain_cost,
-                        .max_load_ratio = front->conf.max_load_ratio};
+                        /* a brittle upstream lets no request wait */
+                        .max_load_ratio =
+                            brittle ? 1.0 : front->conf.max_load_ratio};
 }
 
 bool
 FrRequest_IsUpFull(const FrFront *front, const BkUp *up, int64_t prompt)
 {
-    BkPickConf conf = make_pick_conf(front);
+    BkPickConf conf = make_pick_conf(front, up->service_key);
     const BkSiteService *service =
         front->site == NULL ? NULL
                             : BkSite_FindService(front->site, up->service);
@@ -298,7 +304,7 @@
 {
     FrFront *front = request->front;
     BkMs now = BkClock_Now();
-    BkPickConf conf = make_pick_conf(front);
+    BkPickConf conf = make_pick_conf(front, request->query.service);
     const BkSiteService *service =
         front->site == NULL
             ? NULL
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -62,6 +62,13 @@
     BkBudget budget;
 } FrServiceBudget;
 
+/* A service whose upstreams fall over when they refuse many requests. */
+typedef struct FrBrittleService {
+    uint32_t service;
+    int64_t max_refusals; /* in a second, as one of them named last */
+    BkMs named_at;
+} FrBrittleService;
+
 /* A model that the planner loads, or will load, on an engine. */
 typedef struct FrExpectedModel {
     uint32_t model;
@@ -127,6 +134,8 @@
     FrMetrics metrics;
     FrServiceBudget budgets[FR_MAX_SERVICES];
     int budget_count;
+    FrBrittleService brittle_services[FR_MAX_SERVICES];
+    int brittle_count;
     FrExpectedModel *expected_models;
     int expected_model_count;
     int expected_model_cap;
--- a/src/front/loads.c
+++ b/src/front/loads.c
@@ -8,17 +8,22 @@
     LOAD_TIMEOUT = 2000,
     /* ms in which a daemon that was asked as the coordinator ignores what
        others say of the total */
-    COORDINATION_TIME = 2000
+    COORDINATION_TIME = 2000,
+    /* ms in which a new coordinator may not have been told the load of all
+       daemons; longer than the interval at which they tell it again */
+    TAKEOVER_TIME = 600
 };
 
 /* Derives the load of the other daemons. The coordinator's own count is the
-   newest. Otherwise both are parts of the truth, and the larger one is nearer
+   newest, once it is complete. Otherwise both are parts of the truth, and the larger one is nearer
    to it. */
 static void
 update_peer_load(BkUp *up, BkMs now)
 {
-    bool told = up->told_at != 0 && now - up->told_at < LOAD_TIMEOUT &&
-                now >= up->coordinated_until;
+    bool complete = now < up->coordinated_until &&
+                    now - up->coordinated_since >= TAKEOVER_TIME;
+    bool told =
+        up->told_at != 0 && now - up->told_at < LOAD_TIMEOUT && !complete;
 
     up->peer_running = up->counted_running;
     up->peer_prompt_tokens = up->counted_prompt_tokens;
@@ -124,6 +129,15 @@
     peer->loads[index] = peer->loads[--peer->load_count];
 }
 
+void
+FrLoads_NoteCoordination(BkUp *up, BkMs now)
+{
+    if (now >= up->coordinated_until) {
+        up->coordinated_since = now;
+    }
+    up->coordinated_until = now + COORDINATION_TIME;
+}
+
 void
 FrLoads_SetOne(FrFront *front, FrPeer *peer, const bkp_load *load, BkMs now)
 {
@@ -132,7 +146,7 @@
     if (up == NULL) {
         return;
     }
-    up->coordinated_until = now + COORDINATION_TIME;
+    FrLoads_NoteCoordination(up, now);
     for (int i = 0; i < peer->load_count; i++) {
         if (peer->loads[i].up == up) {
             set_load(&peer->loads[i], load, now);
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -498,6 +498,14 @@
                                 BkClock_Now());
 }
 
+static void
+handle_refused(const void *message, const char *from, void *arg)
+{
+    const FrPeers *peers = arg;
+
+    FrAdmission_HandleRefused(peers->front->admission, message, BkClock_Now());
+}
+
 static void
 handle_links(const void *message, const char *from, void *arg)
 {
@@ -528,6 +536,8 @@
      handle_origins},
     {BKP_PLANNER_BEAT, "beat", (xdrproc_t)xdr_bkp_planner_beat,
      sizeof(bkp_planner_beat), handle_planner_beat},
+    {BKP_REFUSED, "refused", (xdrproc_t)xdr_bkp_refused, sizeof(bkp_refused),
+     handle_refused},
     {BKP_REPORTS, "reports", (xdrproc_t)xdr_bkp_reports, sizeof(bkp_reports),
      handle_reports},
     {BKP_LOAD_UPDATE, "told", (xdrproc_t)xdr_bkp_load_update,
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -175,6 +175,9 @@
 /* The upstream's coordinator has counted this load of the other daemons. */
 void FrLoads_SetOthers(BkUp *up, const bkp_load *others, BkMs now);
 
+/* This daemon acts as the upstream's coordinator. */
+void FrLoads_NoteCoordination(BkUp *up, BkMs now);
+
 /* As the coordinator: the peer has told its load at an upstream. */
 void FrLoads_SetOne(FrFront *front, FrPeer *peer, const bkp_load *load,
                     BkMs now);
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -73,6 +73,10 @@
             BkUp_SetModelLoaded(up, request->query.model, false);
         }
     }
+    if (head->http_status == 503 && !wrong_process &&
+        FrSignals_IsBrittle(request->front, up->service_key)) {
+        FrAdmission_NoteRefusal(request->front->admission, up, now);
+    }
     request->last_up_code = head->http_status;
     release_connection(request);
     FrRequest_FailAttempt(request, false,
--- a/src/front/signals.c
+++ b/src/front/signals.c
@@ -2,6 +2,11 @@
 
 #include "bk/base/log.h"
 
+enum {
+    /* ms; responses overtake each other on different connections */
+    BRITTLE_HYSTERESIS = 500
+};
+
 void
 FrSignals_NoteRateLimit(BkUp *up, double rate, BkMs seen_at,
                         const char *source, BkMs now)
@@ -35,6 +40,64 @@
     }
 }
 
+static int
+find_brittle(const FrFront *front, uint32_t service)
+{
+    int i = 0;
+
+    while (i < front->brittle_count &&
+           front->brittle_services[i].service != service) {
+        i++;
+    }
+    return i;
+}
+
+bool
+FrSignals_IsBrittle(const FrFront *front, uint32_t service)
+{
+    return find_brittle(front, service) < front->brittle_count;
+}
+
+/* All upstreams of a service are brittle at the same time, so that the word of
+   one counts for all. */
+static void
+note_brittle(FrFront *front, const BkUp *up, int64_t max_refusals, BkMs now)
+{
+    int i = find_brittle(front, up->service_key);
+
+    if (i == FR_MAX_SERVICES) {
+        BkLog_Event(BK_LOG_WARNING, "throttle", NULL,
+                    "no room for a brittle service", "s:s", "service",
+                    up->service);
+        return;
+    }
+    if (i == front->brittle_count) {
+        front->brittle_count++;
+        BkLog_Event(BK_LOG_NOTICE, "throttle", NULL, "service brittle",
+                    "s:s, s:s, s:I", "service", up->service, "upstream",
+                    up->id, "max_refusals", (json_int_t)max_refusals);
+    }
+    front->brittle_services[i] =
+        (FrBrittleService){up->service_key, max_refusals, now};
+}
+
+/* A response without the word, which ends it unless another upstream has just
+   named it. */
+static void
+note_sound(FrFront *front, const BkUp *up, BkMs now)
+{
+    int i = find_brittle(front, up->service_key);
+
+    if (i == front->brittle_count ||
+        now - front->brittle_services[i].named_at < BRITTLE_HYSTERESIS) {
+        return;
+    }
+    front->brittle_services[i] =
+        front->brittle_services[--front->brittle_count];
+    BkLog_Event(BK_LOG_NOTICE, "throttle", NULL, "service no longer brittle",
+                "s:s, s:s", "service", up->service, "upstream", up->id);
+}
+
 static void
 log_bad_value(const BkUp *up, const char *request_id, const char *event)
 {
@@ -53,6 +116,15 @@
         FrSignals_NoteRateLimit(up, signals->rate_limit, now, "its response",
                                 now);
     }
+    if (signals->bad_max_refusals) {
+        log_bad_value(up, request_id, "bad number of refusals, ignored");
+    }
+    else if (signals->max_refusals >= 0) {
+        note_brittle(front, up, signals->max_refusals, now);
+    }
+    else if (ends_limit) {
+        note_sound(front, up, now);
+    }
     if (signals->bad_leaving) {
         log_bad_value(up, request_id, "bad leaving flag, ignored");
     }
--- a/src/front/signals.h
+++ b/src/front/signals.h
@@ -25,6 +25,9 @@
 void FrSignals_Apply(FrFront *front, BkUp *up, const BkSignals *signals,
                      bool ends_limit, const char *request_id, BkMs now);
 
+/* Whether the service's upstreams fall over when they refuse many requests. */
+bool FrSignals_IsBrittle(const FrFront *front, uint32_t service);
+
 /* The upstream named this rate limit, in requests a second, at seen_at;
  * negative: none. source: who read it, for the log. */
 void FrSignals_NoteRateLimit(BkUp *up, double rate, BkMs seen_at,
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -383,6 +383,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_bkp_refused (XDR *xdrs, bkp_refused *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_string (xdrs, &objp->name, BKP_MAX_NAME))
+		 return FALSE;
+	 if (!xdr_bkp_load (xdrs, &objp->load))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_bkp_origins (XDR *xdrs, bkp_origins *objp)
 {
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -240,6 +240,13 @@
     unsigned int service;
 };
 
+/* an upstream that may not refuse many requests has refused one of the sender,
+   which is still in its load; sent to the upstream's coordinator */
+struct bkp_refused {
+    string name<BKP_MAX_NAME>;    /* name of the sender */
+    bkp_load load;
+};
+
 /* streams that began at the sender; it tells two other daemons of each */
 struct bkp_origins {
     bkp_origin rows<BKP_MAX_ORIGINS>;
@@ -352,5 +359,6 @@
         void BKP_WELL(bkp_well) = 16;
         void BKP_VERDICTS(bkp_verdicts) = 17;
         void BKP_LINKS(bkp_links) = 18;
+        void BKP_REFUSED(bkp_refused) = 19;
     } = 2;
 } = 0x20426b02;
--- a/src/pick/pick.c
+++ b/src/pick/pick.c
@@ -82,14 +82,12 @@
 is_full(const BkPickConf *conf, const BkPickQuery *query, const BkUp *up,
         BkMs now)
 {
-    if (now < up->throttled_until) {
+    if (now < up->throttled_until || now < up->full_until) {
         return true;
     }
-    if (query->engine == NULL) {
-        return BkPick_IsServiceFull(conf, up);
-    }
-    return now < up->full_until ||
-           BkPick_IsEngineFull(conf, up, query->prompt_tokens);
+    return query->engine == NULL
+               ? BkPick_IsServiceFull(conf, up)
+               : BkPick_IsEngineFull(conf, up, query->prompt_tokens);
 }
 
 /* Rendezvous hashing: daemons that see the same upstreams choose the same
