origin: take a start for the first one only if the VM has left no row

With settings that still said that the system starts for the first time, all daemons that were back took the only version they saw for the one that began every stream: versions_after_death_with_stale_settings failed, 12 of 12 streams held events of two versions. Now the row of the members table is written on the condition that there is none, and the setting counts only if that succeeds; the same for reading the verdicts of the quarantine.

--- a/src/front/front.c
+++ b/src/front/front.c
@@ -97,6 +97,12 @@
                               FrFront_CountDaemons(front), now);
 }
 
+bool
+FrFront_IsFirstStart(const FrFront *front)
+{
+    return front->conf.first_start && front->first_start_known;
+}
+
 bool
 FrFront_IsReady(const FrFront *front)
 {
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -119,10 +119,11 @@
     BkRng rng;
     /* wall-clock time of the start, in ms since 1970 */
     uint64_t wall_started_at;
-    BkMs started_at;    /* the same by the monotonic clock */
-    BkSite *site;       /* NULL until a configuration has been read */
-    uint64_t site_hash; /* of the row of the configuration */
-    uint64_t site_era;  /* newest era of the store in which it was read */
+    BkMs started_at;        /* the same by the monotonic clock */
+    bool first_start_known; /* see FrFront_IsFirstStart */
+    BkSite *site;           /* NULL until a configuration has been read */
+    uint64_t site_hash;     /* of the row of the configuration */
+    uint64_t site_era;      /* newest era of the store in which it was read */
     BkFleet fleet;
     FrSync *sync;
     FrPeers *peers;
@@ -171,6 +172,10 @@
 void FrFront_Run(FrFront *front);
 void FrFront_Destroy(FrFront *front);
 
+/* Whether no daemon ran before: the settings say so, and the store had no row of
+ * an earlier process of this VM. */
+bool FrFront_IsFirstStart(const FrFront *front);
+
 /* Whether the load balancer should send new connections to this daemon. */
 bool FrFront_IsReady(const FrFront *front);
 
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -72,12 +72,32 @@
     FrSync_AllowReader(peers->front->sync, BkClock_Now());
 }
 
+/* The row was written if there was none. */
+static void
+on_first_row(const BkStoreReply *reply, FrPeers *peers)
+{
+    FrFront *front = peers->front;
+
+    if (reply->status == BK_OK) {
+        front->first_start_known = true;
+    }
+    else if (reply->status == BK_ECONFLICT) {
+        BkLog_Event(BK_LOG_NOTICE, "peers", NULL, "not the first start", "s:s",
+                    "why", "an earlier process of this VM has left its row");
+        front->conf.first_start = false;
+    }
+}
+
 static void
 on_row_written(const BkStoreReply *reply, void *arg)
 {
     FrPeers *peers = arg;
+    const FrFront *front = peers->front;
 
     peers->call_active = false;
+    if (front->conf.first_start && !front->first_start_known) {
+        on_first_row(reply, peers);
+    }
     peers->row_written = reply->status == BK_OK;
     if (!peers->row_written) {
         schedule_retry(peers);
@@ -112,8 +132,12 @@
     else {
         BkBuf value = BkBuf_Make(0);
         BkBuf_Printf(&value, "%s %s", conf->peers_address, conf->domain);
-        BkStoreOp row = {
-            .key = conf->name, .put = true, .value = BkBuf_Str(&value)};
+        BkStoreOp row = {.key = conf->name,
+                         /* that there is none */
+                         .check_version = conf->first_start &&
+                                          !peers->front->first_start_known,
+                         .put = true,
+                         .value = BkBuf_Str(&value)};
         BkStore_Commit(peers->front->store, table, &row, 1, CALL_TIMEOUT,
                        on_row_written, peers);
         BkBuf_Destroy(&value);
--- a/src/front/origins.c
+++ b/src/front/origins.c
@@ -50,8 +50,8 @@
     BkOriginView view = BkFleet_ViewSoftware(&front->fleet, service,
                                              origins->known.memory, now);
 
-    view.complete = view.complete ||
-                    (front->conf.first_start && front->fleet.list_complete);
+    view.complete = view.complete || (FrFront_IsFirstStart(front) &&
+                                      front->fleet.list_complete);
     return view;
 }
 
--- a/src/front/quarantine_rows.c
+++ b/src/front/quarantine_rows.c
@@ -182,7 +182,7 @@
         return;
     }
     if (!quarantine->rows_read && now - front->started_at >= READ_DELAY) {
-        if (front->conf.first_start || knows_older_peer(front, now)) {
+        if (FrFront_IsFirstStart(front) || knows_older_peer(front, now)) {
             quarantine->rows_read = true;
             return;
         }
--- a/tests/proof/case_front_versions.py
+++ b/tests/proof/case_front_versions.py
@@ -237,3 +237,44 @@
     check(code == 503, "%s", code)
     for front in fronts[1:]:
         front.thaw()
+
+
+def rejoin_after_death_of_all(world, first_start):
+    """Kills all daemons while streams run, lets the version that began them
+    leave, starts the daemons again with their settings, and takes the streams
+    up."""
+    store, streams, upstreams, fronts = start(world, ("v1", "v1"), 3)
+    for upstream in upstreams:
+        streams.serve(upstream, stalls=True)
+    ids, _ = begin_streams(fronts[0], 12)
+    for front in fronts:
+        front.kill()
+    streams.released.set()
+    for n in range(2):
+        streams.serve(Replica(store, "i-new-%d" % n, slots=50,
+                              software="v2"))
+    for upstream in upstreams:
+        store.put("servers", upstream.id, None)
+    fronts = [Front(world, store, "front-%d" % n, first_start=first_start)
+              for n in range(3)]
+    for front in fronts:
+        front.await_ready()
+    answers = [take_up(fronts[n % 3], stream)
+               for n, stream in enumerate(ids)]
+    streams.check()
+    check({code for code, _, _ in answers} == {503}, "%s", answers)
+
+
+@case
+def versions_after_death_of_all_daemons(world):
+    """The version that began some streams has left when all daemons are back
+    after their death: the streams are refused, and not joined from two
+    versions."""
+    rejoin_after_death_of_all(world, False)
+
+
+@case
+def versions_after_death_with_stale_settings(world):
+    """The same while the settings still say that the system starts for the
+    first time."""
+    rejoin_after_death_of_all(world, True)
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -544,11 +544,13 @@
     """A bk-front with settings from the platform's template."""
 
     def __init__(self, world, store, name="front-1", seeds=(), log="debug",
-                 term=None, zone="a", bounds=BOUNDS, **routing):
+                 term=None, zone="a", bounds=BOUNDS, first_start=False,
+                 **routing):
         listen, ops = ("127.0.0.1:%d" % next_port() for _ in range(2))
         port = next_port()
         settings = platform_settings(
             name, zone=zone, bounds=bounds, seeds=list(seeds),
+            bootstrap=first_start,
             internalPortRange=[port, port],
             listen={"front": listen, "ready": ops},
             provider={"address": store.addr})
