--- a/tests/proof/links.py
+++ b/tests/proof/links.py
@@ -49,7 +49,15 @@
         elif how == "reset":
             self.reset()
 
+    def pause(self):
+        """Holds back what comes, and answers no new connection, until the link
+        is restored."""
+        self.flowing.clear()
+        self.close_listener()
+        self.drop_new_connections()
+
     def restore(self):
+        self.flowing.set()
         self.close_listener()
         for filler in self.fillers:
             filler.close()
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -237,6 +237,8 @@
         self.state_fields = b""  # header lines of answers to the planner
         self.lock = threading.Lock()
         self.connections, self.ended = set(), False
+        self.awake = threading.Event()
+        self.awake.set()
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -307,7 +309,13 @@
                 if self.handle(req, connection) is False:
                     return
 
+    def fall_silent(self, seconds):
+        """Does nothing for so long, and then goes on."""
+        self.awake.clear()
+        threading.Timer(seconds, self.awake.set).start()
+
     def handle(self, req, connection):
+        self.awake.wait()
         expected = req.fields.get("x-expect-instance", self.id)
         if expected != self.id:
             connection.sendall(b"HTTP/1.1 421 X\r\nX-Instance-Id: %s\r\n"
@@ -468,6 +476,8 @@
     def __init__(self, target, port=0):
         self.target, self.pairs, self.lock = target, [], threading.Lock()
         self.delay, self.refuse, self.muted = 0, False, ()
+        self.flowing = threading.Event()  # clear: what comes is held back
+        self.flowing.set()
         self.received = 0  # bytes from the target that were passed on
         self.listen(port)
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
@@ -503,6 +513,7 @@
         lost = False
         try:
             while data := source.recv(65536):
+                self.flowing.wait()
                 if self.delay:
                     time.sleep(self.delay)
                 lost = lost or pair["silent"] or direction in self.muted
