detour: let the first daemon decide about further runs

A relayed request could run as often again as its route allows at the other daemon, and once more when the connection to that one broke off: three runs where two are allowed. Found by reading. Now the other daemon runs it once, and what fails there is tried again by the one that knows the request's runs.

--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -186,17 +186,15 @@
     return NULL;
 }
 
-/* The daemon that it came from has counted the request, and its runs. */
+/* The daemon that it came from has counted the request, and decides whether it
+   may run again. */
 static void
 apply_detour(FrRequest *request, const FrDetourFields *fields)
 {
     request->relayed = true;
     request->front->relayed_count++;
     request->query.software = (uint32_t)fields->software;
-    request->max_runs -= (int)fields->runs;
-    if (request->max_runs < 1) {
-        request->max_runs = 1;
-    }
+    request->max_runs = 1;
 }
 
 void
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -52,12 +52,9 @@
 {
     BkMs fire_at = request->deadline;
 
-    /* another daemon makes such attempts itself */
-    bool is_relayed = request->up != NULL && request->up->is_daemon;
-
     if (request->stage == FR_SENT && request->kind == BK_ROUTE_SAFE &&
-        !is_relayed && may_replace_attempt(request) &&
-        retry_time(request) < fire_at && retry_time(request) > now) {
+        may_replace_attempt(request) && retry_time(request) < fire_at &&
+        retry_time(request) > now) {
         fire_at = retry_time(request);
     }
     BkTimer_Start(request->timer, fire_at - now);
--- a/src/front/detour.c
+++ b/src/front/detour.c
@@ -140,10 +140,9 @@
                                      : request->detour_count - 1;
 
     BkBuf_Printf(
-        out, "%s: config=%llu,runs=%d,tries=%d,software=%u\r\n", field_name,
+        out, "%s: config=%llu,tries=%d,software=%u\r\n", field_name,
         (unsigned long long)(front->site == NULL ? 0 : front->site->version),
-        request->run_count, tries,
-        request->query.software);
+        tries, request->query.software);
 }
 
 bool
@@ -209,7 +208,6 @@
 
     *out =
         (FrDetourFields){.config = read_number(text, "config"),
-                         .runs = (int64_t)read_number(text, "runs"),
                          .tries = (int64_t)read_number(text, "tries"),
                          .software = (int64_t)read_number(text, "software")};
     if (out->config > front->site->version) {
--- a/src/front/detour.h
+++ b/src/front/detour.h
@@ -4,12 +4,13 @@
  * A daemon that has lost its links to the upstreams sends the requests of its
  * callers to a daemon that has them, over HTTP at the address of the peers'
  * messages, and passes the response on. The other daemon serves such a request
- * like one of its own callers, but never sends it to a third daemon, and does
- * not count it as a new request: the first one has.
+ * like one of its own callers, but never sends it to a third daemon, lets it run
+ * once only, and does not count it as a new request: the first one counts, and
+ * decides about further runs.
  *
  * The field Bk-Detour of a request has the version of the first daemon's
- * configuration, the runs that the request may have had, how many daemons have
- * refused it, and the software version that its stream is bound to; in a
+ * configuration, how many daemons have refused it, and the software version that
+ * its stream is bound to; in a
  * response, the software version of the upstream, or a word: the request was not
  * run, and another daemon may serve it ("elsewhere"), or this one too if no
  * other does ("full").
@@ -23,7 +24,6 @@
 /* What the field of a request says. */
 typedef struct FrDetourFields {
     uint64_t config; /* version */
-    int64_t runs;
     int64_t tries;
     int64_t software; /* key of its name; 0: any */
 } FrDetourFields;
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -128,8 +128,23 @@
     return BkStr_Equal(fields->request_id, BkStr_FromC(request->id));
 }
 
-/* The response of a daemon by way of which the request went. Its own retries
-   are done, and what it refuses has not run there. */
+static bool
+may_run_again_later(const FrRequest *request)
+{
+    return request->repeatable && request->run_count + 1 < request->max_runs;
+}
+
+/* The same for a run by way of another daemon, which is not to be avoided. */
+static FrHeadAction
+fail_relayed_run(FrRequest *request)
+{
+    release_connection(request);
+    FrRequest_FailAttempt(request, true, false, "the upstream failed");
+    return FR_HEAD_RELEASED;
+}
+
+/* The response of a daemon by way of which the request went. What that one
+   refuses has not run there. */
 static FrHeadAction
 handle_relayed_head(FrRequest *request, const BkH1Head *head)
 {
@@ -154,6 +169,9 @@
                               "the stream was not gone on with");
         return FR_HEAD_RELEASED;
     }
+    if (!not_run && head->http_status >= 500 && may_run_again_later(request)) {
+        return fail_relayed_run(request);
+    }
     if (not_run && request->run_count > 0) {
         /* it may have run before, at another daemon or upstream */
         release_connection(request);
@@ -202,8 +220,7 @@
     if (head->http_status >= 300 && request->stage == FR_RESPONDING) {
         return fail_possible_run(request, "the stream was not gone on with");
     }
-    if (head->http_status >= 500 && request->repeatable &&
-        request->run_count + 1 < request->max_runs) {
+    if (head->http_status >= 500 && may_run_again_later(request)) {
         return fail_possible_run(request, "the upstream failed");
     }
     if (promises_not_run(head->http_status)) {
