--- a/tests/proof/case_front_soak.py
+++ b/tests/proof/case_front_soak.py
@@ -40,6 +40,8 @@
 
 class Soak:
     FIRST_ERA = None  # the store tells no era
+    ENGINE_COUNT = ENGINES
+    KINDS = ("once", "safe", "flow", "again", "llm")  # that callers ask for
 
     def __init__(self, world):
         self.world, self.rng = world, random.Random(world.seed)
@@ -53,7 +55,7 @@
         self.change()
         self.apps = [self.replica("app-%d" % n) for n in range(APPS)]
         self.engines = [self.replica("e-%d" % n, "llm", {MODELS[n]: set()})
-                        for n in range(ENGINES)]
+                        for n in range(self.ENGINE_COUNT)]
         self.store_proxies = [Proxy(self.store.addr) for _ in range(FRONTS)]
         self.fronts = [self.start(n) for n in range(FRONTS)]
         for front in self.fronts:
@@ -100,7 +102,7 @@
         caller, front, turn = None, None, 0
         while not self.stopped.is_set():
             turn += 1
-            kind = rng.choice(("once", "safe", "flow", "again", "llm"))
+            kind = rng.choice(self.KINDS)
             request_id = "%d-%d" % (index, turn)
             try:
                 if caller is None or rng.random() < 0.2:
@@ -349,8 +351,9 @@
         proxy.heal()
     for front in soak.fronts:
         front.await_ready()
-        for kind, fields in (("once", {}), ("again", {}), (
-                "llm", {"X_Model": "m1/a1", "X_Token_Count": "300,9"})):
+        for kind in {"once", "again", "llm"} & set(soak.KINDS):
+            fields = {"X_Model": "m1/a1", "X_Token_Count": "300,9"} \
+                if kind == "llm" else {}
             wait("%s is served by %s" % (kind, front.name), lambda: Caller(
                 front).ask("/%s/" % kind, b"", **fields)[0] == 200)
     check_records(soak)
