--- a/tests/unit/test_adapter.c
+++ b/tests/unit/test_adapter.c
@@ -85,6 +85,11 @@
                      fields.signals.bad_rate_limit ? "bad " : "",
                      fields.signals.rate_limit);
     }
+    if (fields.signals.max_refusals >= 0 || fields.signals.bad_max_refusals) {
+        BkBuf_Printf(out, " %sbrittle %lld",
+                     fields.signals.bad_max_refusals ? "bad " : "",
+                     (long long)fields.signals.max_refusals);
+    }
     BkBuf_Printf(out, "%s%s%s", fields.signals.leaving ? " leaving" : "",
                  fields.signals.bad_leaving ? " bad leaving" : "",
                  fields.signals.bad_hold_off ? " bad hold-off" : "");
