--- a/include/bk/reach/reach.h
+++ b/include/bk/reach/reach.h
@@ -5,8 +5,9 @@
  * Pure. A VM can lose its links to all upstreams, or to those of a service,
  * while callers, the store and the other VMs still reach it. Open connections
  * may hang, be reset, or live on, so that only attempts to open new ones tell.
- * The links to a service count as lost when attempts at several of its upstreams
- * have failed and none has succeeded since; a single one that succeeds ends that.
+ * After a failed attempt the VM tries a few upstreams at random (probes), since
+ * requests go to the ones that ended as well. The links to a service count as
+ * lost when these have failed too; a single attempt that succeeds ends that.
  *
  * Units: times in ms on the monotonic clock. Upstreams, services and VMs are
  * named by the hashes of their names (BkStr_NameHash).
@@ -18,7 +19,8 @@
 #include "bk/fleet/fleet.h"
 
 enum {
-    BK_REACH_QUORUM = 3, /* upstreams that did not accept a connection */
+    BK_REACH_PROBES = 3, /* that fail before the links count as lost */
+    BK_REACH_MAX_TRIED = 16,
     /* refusals after which a VM takes a request whatever its load is */
     BK_REACH_MAX_REFUSALS = 2
 };
@@ -26,9 +28,11 @@
 /* The links to the upstreams of one service. */
 typedef struct BkReach {
     uint32_t service;
-    /* upstreams that did not accept a connection, since the last success */
-    uint32_t failed[BK_REACH_QUORUM];
-    int failed_count;
+    /* upstreams that were probed, or failed, since the last success */
+    uint32_t tried[BK_REACH_MAX_TRIED];
+    int tried_count;
+    int failed_count;  /* attempts since then, also repeated ones */
+    int failed_probes; /* of these, probes */
     BkMs connected_at; /* last success; BK_MS_NEVER: none yet */
     bool lost;
     BkMs lost_at;
@@ -41,16 +45,16 @@
 
 /* An attempt that began at started_at failed. It says nothing if another one
  * has succeeded since. */
-void BkReach_NoteFailed(BkReach *reach, uint32_t upstream, BkMs started_at);
+void BkReach_NoteFailed(BkReach *reach, uint32_t upstream, bool probe,
+                        BkMs started_at);
 
 /* Decides whether the links are lost, by the upstreams of the fleet that are
  * open. Returns true if they have just become so. */
 bool BkReach_Decide(BkReach *reach, const BkFleet *fleet, BkMs now);
 
-/* Chooses the upstream to which a connection is tried next: one that has not
- * failed, else any. NULL if none is open. */
-BkUp *BkReach_ChooseProbe(const BkReach *reach, const BkFleet *fleet,
-                          BkRng *rng);
+/* Chooses the upstream that is probed next: one that was not tried yet, else
+ * any. NULL if none is open. */
+BkUp *BkReach_ChooseProbe(BkReach *reach, const BkFleet *fleet, BkRng *rng);
 
 /* Another VM, by way of which a request may go. */
 typedef struct BkReachVm {
--- a/src/front/breaks.c
+++ b/src/front/breaks.c
@@ -94,7 +94,7 @@
     BkMs rest = broken->at + COLLECT_TIME - BkClock_Now();
 
     close_connection(broken);
-    FrLinks_NoteFailed(broken->quarantine->front->links, broken->up,
+    FrLinks_NoteFailed(broken->quarantine->front->links, broken->up, false,
                        broken->at);
     broken->state = BREAK_ENDED;
     BkTimer_Start(broken->timer, rest > 0 ? rest : 0);
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -252,7 +252,7 @@
     const FrFront *front = planner->front;
     /* a planner has to reach the engines */
     bool unable = planner->lease.phase != BK_LEASE_HOLDER &&
-                  FrLinks_AreEnginesLost(front->links) &&
+                  FrLinks_AreEnginesLost(front->links, 0) &&
                   FrPeers_AnyReachesStore(front->peers, now);
 
     if (planner->lease_released || unable || is_backup(planner, now)) {
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bk/base/log.h"
+#include "links.h"
 #include "peers.h"
 #include "planner.h"
 #include "signals.h"
@@ -293,9 +294,14 @@
     BkSignals signals = engine->signals;
 
     engine->signals = BkAdapter_NoSignals();
-    if (result->http_status == 0 ||
-        BkAdapter_IsMisdirected(result->http_status)) {
-        return; /* no response, or that of another process */
+    if (result->http_status == 0) {
+        /* the engine, or this daemon's links: probes tell */
+        FrLinks_NoteFailed(engine->planner->front->links, engine->up, false,
+                           now - REQUEST_TIMEOUT);
+        return;
+    }
+    if (BkAdapter_IsMisdirected(result->http_status)) {
+        return; /* that of another process */
     }
     if (result->http_status != 503) {
         signals.hold_off = 0;
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -6,9 +6,11 @@
 #include "bk/base/log.h"
 
 enum {
-    UNDECIDED_INTERVAL = 100, /* ms between probes after a failure */
-    LOST_INTERVAL = 250,      /* ms between probes while the links are lost */
-    TELL_INTERVAL = 1000,     /* ms between messages while links are lost */
+    /* ms between rounds of probes after a failure; longer than an attempt to
+       connect may take */
+    UNDECIDED_INTERVAL = 400,
+    LOST_INTERVAL = 250,  /* ms between probes while the links are lost */
+    TELL_INTERVAL = 1000, /* ms between messages while links are lost */
     /* ms without a message until a peer counts as having its links again:
        several intervals, since datagrams are lost */
     TOLD_TIMEOUT = 2500
@@ -36,16 +38,19 @@
     Row *row = arg;
     FrLinks *links = row->links;
     FrFront *front = links->front;
+    bool lost = row->reach.lost;
 
     if (row->reach.failed_count == 0 || front->stopping) {
         return;
     }
-    BkUp *up = BkReach_ChooseProbe(&row->reach, &front->fleet, &front->rng);
-    if (up != NULL && FrUpConn_OpenIdle(front, up)) {
-        BkCounter_Add(links->probes, 1);
+    for (int i = 0; i < (lost ? 1 : BK_REACH_PROBES); i++) {
+        BkUp *up =
+            BkReach_ChooseProbe(&row->reach, &front->fleet, &front->rng);
+        if (up != NULL && FrUpConn_OpenIdle(front, up)) {
+            BkCounter_Add(links->probes, 1);
+        }
     }
-    BkTimer_Start(row->probe_timer,
-                  row->reach.lost ? LOST_INTERVAL : UNDECIDED_INTERVAL);
+    BkTimer_Start(row->probe_timer, lost ? LOST_INTERVAL : UNDECIDED_INTERVAL);
 }
 
 static Row *
@@ -158,14 +163,14 @@
 }
 
 void
-FrLinks_NoteFailed(FrLinks *links, const BkUp *up, BkMs started_at)
+FrLinks_NoteFailed(FrLinks *links, const BkUp *up, bool probe, BkMs started_at)
 {
     Row *row = find_or_add_row(links, up->service_key);
 
     if (row == NULL || !BkUp_IsOpen(up)) {
         return;
     }
-    BkReach_NoteFailed(&row->reach, up->key, started_at);
+    BkReach_NoteFailed(&row->reach, up->key, probe, started_at);
     if (BkReach_Decide(&row->reach, &links->front->fleet, BkClock_Now())) {
         log_change(links, up, "links lost", -1);
     }
@@ -204,15 +209,17 @@
 }
 
 bool
-FrLinks_AreEnginesLost(const FrLinks *links)
+FrLinks_AreEnginesLost(const FrLinks *links, BkMs at_least)
 {
     const BkSite *site = links->front->site;
+    BkMs now = BkClock_Now();
 
     for (int i = 0; site != NULL && i < site->service_count; i++) {
         const BkSiteService *service = &site->services[i];
-        if (service->engine != NULL &&
-            FrLinks_AreLost(links,
-                            BkStr_NameHash(BkStr_FromC(service->name)))) {
+        const Row *row = find_row((FrLinks *)links,
+                                  BkStr_NameHash(BkStr_FromC(service->name)));
+        if (service->engine != NULL && row != NULL && row->reach.lost &&
+            now - row->reach.lost_at >= at_least) {
             return true;
         }
     }
--- a/src/front/links.h
+++ b/src/front/links.h
@@ -18,8 +18,10 @@
 /* The upstream accepted a connection. */
 void FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs now);
 
-/* An attempt to connect to the upstream, begun at started_at, has failed. */
-void FrLinks_NoteFailed(FrLinks *links, const BkUp *up, BkMs started_at);
+/* An attempt to connect to the upstream, begun at started_at, has failed. probe:
+ * it was one of this file's own. */
+void FrLinks_NoteFailed(FrLinks *links, const BkUp *up, bool probe,
+                        BkMs started_at);
 
 /* A peer has told which links it has lost. */
 void FrLinks_HandleTold(FrLinks *links, const bkp_links *told, BkMs now);
@@ -37,7 +39,7 @@
  * lists some. */
 bool FrLinks_AreLost(const FrLinks *links, uint32_t service);
 
-/* The same for the engines of any service. */
-bool FrLinks_AreEnginesLost(const FrLinks *links);
+/* The same for the engines of any service, for at_least ms. */
+bool FrLinks_AreEnginesLost(const FrLinks *links, BkMs at_least);
 
 #endif
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -13,6 +13,9 @@
     IDLE_STEP_INTERVAL = 100, /* ms, while it is not */
     PLAN_INTERVAL = 100,      /* ms between planning rounds */
     RESIGN_AFTER = 700,       /* ms without an answer from the store */
+    /* ms without links to engines; longer than it takes to find out that only
+       some engines have ended */
+    RESIGN_LOST = 400,
     /* ms that the room made by an unload is kept for the model that it was
        made for */
     RESERVATION_TIME = 4000,
@@ -454,7 +457,7 @@
 maybe_resign(FrPlanner *planner, BkMs now)
 {
     const FrFront *front = planner->front;
-    bool lost = FrLinks_AreEnginesLost(front->links);
+    bool lost = FrLinks_AreEnginesLost(front->links, RESIGN_LOST);
 
     if (!FrSync_IsStoreFailing(front->sync)) {
         planner->store_ok_at = now;
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -361,7 +361,8 @@
 fail_connect(FrUpConn *conn)
 {
     if (!conn->up->is_daemon) {
-        FrLinks_NoteFailed(conn->front->links, conn->up, conn->opened_at);
+        FrLinks_NoteFailed(conn->front->links, conn->up, conn->request == NULL,
+                           conn->opened_at);
     }
     fail_exchange(conn, FR_EXCHANGE_UNSENT);
 }
--- a/src/reach/reach.c
+++ b/src/reach/reach.c
@@ -11,33 +11,45 @@
 {
     bool was_lost = reach->lost;
 
+    reach->tried_count = 0;
     reach->failed_count = 0;
+    reach->failed_probes = 0;
     reach->connected_at = now;
     reach->lost = false;
     return was_lost;
 }
 
 static bool
-has_failed(const BkReach *reach, uint32_t upstream)
+was_tried(const BkReach *reach, uint32_t upstream)
 {
-    for (int i = 0; i < reach->failed_count; i++) {
-        if (reach->failed[i] == upstream) {
+    for (int i = 0; i < reach->tried_count; i++) {
+        if (reach->tried[i] == upstream) {
             return true;
         }
     }
     return false;
 }
 
-void
-BkReach_NoteFailed(BkReach *reach, uint32_t upstream, BkMs started_at)
+static void
+add_tried(BkReach *reach, uint32_t upstream)
 {
-    bool is_old =
-        reach->connected_at != BK_MS_NEVER && started_at < reach->connected_at;
+    if (!was_tried(reach, upstream) &&
+        reach->tried_count < BK_REACH_MAX_TRIED) {
+        reach->tried[reach->tried_count++] = upstream;
+    }
+}
 
-    if (!is_old && !has_failed(reach, upstream) &&
-        reach->failed_count < BK_REACH_QUORUM) {
-        reach->failed[reach->failed_count++] = upstream;
+void
+BkReach_NoteFailed(BkReach *reach, uint32_t upstream, bool probe,
+                   BkMs started_at)
+{
+    if (reach->connected_at != BK_MS_NEVER &&
+        started_at < reach->connected_at) {
+        return;
     }
+    add_tried(reach, upstream);
+    reach->failed_count++;
+    reach->failed_probes += probe ? 1 : 0;
 }
 
 static bool
@@ -54,9 +66,8 @@
     for (int i = 0; i < fleet->count; i++) {
         open += is_open(reach, fleet->ups[i]) ? 1 : 0;
     }
-    int needed = open < BK_REACH_QUORUM ? open : BK_REACH_QUORUM;
     /* a single upstream that accepts nothing has ended more likely */
-    if (reach->lost || open < 2 || reach->failed_count < needed) {
+    if (reach->lost || open < 2 || reach->failed_probes < BK_REACH_PROBES) {
         return false;
     }
     reach->lost = true;
@@ -65,7 +76,7 @@
 }
 
 BkUp *
-BkReach_ChooseProbe(const BkReach *reach, const BkFleet *fleet, BkRng *rng)
+BkReach_ChooseProbe(BkReach *reach, const BkFleet *fleet, BkRng *rng)
 {
     BkUp *best = NULL;
     uint32_t equal = 0; /* upstreams as good as the best one so far */
@@ -75,16 +86,20 @@
         if (!is_open(reach, up)) {
             continue;
         }
-        bool failed = has_failed(reach, up->key);
-        if (best != NULL && failed && !has_failed(reach, best->key)) {
+        bool tried = was_tried(reach, up->key);
+        bool best_tried = best != NULL && was_tried(reach, best->key);
+        if (best != NULL && tried && !best_tried) {
             continue;
         }
-        if (best == NULL || (!failed && has_failed(reach, best->key))) {
+        if (best_tried && !tried) {
             equal = 0;
         }
         if (BkRng_Below(rng, ++equal) == 0) {
             best = up;
         }
     }
+    if (best != NULL) {
+        add_tried(reach, best->key);
+    }
     return best;
 }
--- a/tests/proof/case_front_recover.py
+++ b/tests/proof/case_front_recover.py
@@ -221,3 +221,18 @@
     for front in fronts:
         code = Caller(front).ask("/once/only", b"")[0]
         check(code == 200, "%d at %s", code, front.name)
+
+
+@case
+def recover_upstreams_that_ended(world):
+    """Half of the upstreams end at once and are listed for a while: no VM takes
+    that for the loss of its own links."""
+    _, replicas, fronts = serve_linked(
+        world, ["f-%d" % n for n in range(8)], upstreams=8)
+    tallies = press_all(fronts, 1, 6)
+    for replica in replicas[::2]:
+        replica.crash()
+    tallies += press_all(fronts, 3, 6)
+    lost = [x.name for x in fronts if x.events("links lost")]
+    check(not lost, "%s", lost)
+    check_runs(replicas, tallies)
