gossip: tell of upstreams whose reports were removed

A daemon that missed the message of a removal, and that the store refuses, used the upstream until the store answered it again. What an upstream says itself (leaving) was told by gossip, a removal was not. Now gossip goes with the removals of the last 8 s and their versions. drain_missed_and_refused_by_store failed (never came: front-9 knows) and passes.

--- a/include/bk/fleet/fleet.h
+++ b/include/bk/fleet/fleet.h
@@ -70,6 +70,7 @@
     BkUpState state;
     BkMs state_since;
     bool announced_leaving; /* it was BK_UP_LEAVING at any time */
+    bool removed;           /* its report was removed, as of row_version */
     /* how long it may stay BK_UP_MISSING before it is gone */
     BkMs missing_grace;
     uint64_t row_version; /* of its last report or removal in the store */
@@ -168,6 +169,11 @@
 void BkFleet_ApplyRemoval(BkFleet *fleet, BkStr id, uint64_t version,
                           BkMs now);
 
+/* Another daemon says that the report of the upstream with this key was
+ * removed by this version. */
+void BkFleet_ApplyToldRemoval(BkFleet *fleet, uint32_t key, uint64_t version,
+                              BkMs now);
+
 /* Start and end of reading the complete list of reports, as of version:
  * upstreams without a report between the two calls count as removed. */
 void BkFleet_BeginList(BkFleet *fleet);
--- a/include/bk/peer/gen/peer_xdr.h
+++ b/include/bk/peer/gen/peer_xdr.h
@@ -30,6 +30,7 @@
 #define BKP_MAX_WELL_RUNS 24
 #define BKP_MAX_VERDICTS 16
 #define BKP_MAX_LOST 64
+#define BKP_MAX_REMOVED 48
 
 struct bkp_load {
 	u_int up;
@@ -361,6 +362,21 @@
 };
 typedef struct bkp_links bkp_links;
 
+struct bkp_removal {
+	u_int up;
+	u_quad_t store_version;
+};
+typedef struct bkp_removal bkp_removal;
+
+struct bkp_removals {
+	u_quad_t store_era;
+	struct {
+		u_int rows_len;
+		bkp_removal *rows_val;
+	} rows;
+};
+typedef struct bkp_removals bkp_removals;
+
 #define BKP_PROGRAM 0x20426b02
 #define BKP_VERSION 2
 
@@ -416,6 +432,9 @@
 #define BKP_REFUSED 19
 extern  void * bkp_refused_2(bkp_refused *, CLIENT *);
 extern  void * bkp_refused_2_svc(bkp_refused *, struct svc_req *);
+#define BKP_REMOVALS 20
+extern  void * bkp_removals_2(bkp_removals *, CLIENT *);
+extern  void * bkp_removals_2_svc(bkp_removals *, struct svc_req *);
 extern int bkp_program_2_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -470,6 +489,9 @@
 #define BKP_REFUSED 19
 extern  void * bkp_refused_2();
 extern  void * bkp_refused_2_svc();
+#define BKP_REMOVALS 20
+extern  void * bkp_removals_2();
+extern  void * bkp_removals_2_svc();
 extern int bkp_program_2_freeresult ();
 #endif /* K&R C */
 
@@ -512,6 +534,8 @@
 extern  bool_t xdr_bkp_verdict (XDR *, bkp_verdict*);
 extern  bool_t xdr_bkp_verdicts (XDR *, bkp_verdicts*);
 extern  bool_t xdr_bkp_links (XDR *, bkp_links*);
+extern  bool_t xdr_bkp_removal (XDR *, bkp_removal*);
+extern  bool_t xdr_bkp_removals (XDR *, bkp_removals*);
 
 #else /* K&R C */
 extern bool_t xdr_bkp_load ();
@@ -550,6 +574,8 @@
 extern bool_t xdr_bkp_verdict ();
 extern bool_t xdr_bkp_verdicts ();
 extern bool_t xdr_bkp_links ();
+extern bool_t xdr_bkp_removal ();
+extern bool_t xdr_bkp_removals ();
 
 #endif /* K&R C */
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -403,6 +403,7 @@
     }
     BkUp *up = find_or_add(fleet, report, now);
     up->in_list = true;
+    up->removed = false;
     up->withheld = false;
     up->row_version = version;
     up->slots = report->slots;
@@ -419,6 +420,7 @@
 {
     bool store_outage = now < fleet->store_outage_grace_until;
 
+    up->removed = true;
     if (up->state == BK_UP_LISTED && store_outage) {
         up->missing_grace = grace;
         set_state(fleet, up, BK_UP_MISSING, now,
@@ -441,6 +443,17 @@
     note_lost_report(fleet, up, SINGLE_REMOVAL_GRACE_MS, now);
 }
 
+void
+BkFleet_ApplyToldRemoval(BkFleet *fleet, uint32_t key, uint64_t version,
+                         BkMs now)
+{
+    const BkUp *up = BkFleet_FindByKey(fleet, key);
+
+    if (up != NULL) {
+        BkFleet_ApplyRemoval(fleet, BkStr_FromC(up->id), version, now);
+    }
+}
+
 void
 BkFleet_BeginList(BkFleet *fleet)
 {
@@ -474,6 +487,7 @@
     for (int i = 0; i < fleet->count; i++) {
         BkUp *up = fleet->ups[i];
         up->row_version = 0;
+        up->removed = false;
         up->withheld = up->state == BK_UP_GONE;
         up->withheld_until = now + BK_FLEET_WITHHOLD_MS;
     }
--- a/src/front/peer_gossip.c
+++ b/src/front/peer_gossip.c
@@ -16,6 +16,9 @@
     FLAG_STORE_OK = 2,
     FLAG_BITS = 2,
     MAX_AGE = 1 << 24, /* ms, longest age in a message */
+    /* ms for which removals of reports are told: several times as long as news
+       take to reach all daemons */
+    REMOVAL_MEMORY = 8000,
     /* ms added to the age of news of the planner at each hop: more than a
        message usually takes */
     HOP_TIME = 15
@@ -40,6 +43,25 @@
     gossip->leaving.leaving_val = leaving;
 }
 
+/* If more reports were removed than a message has room for, it is a part of them
+   that begins elsewhere each time. */
+static void
+fill_removals(FrPeers *peers, bkp_removals *removals, bkp_removal *rows,
+              BkMs now)
+{
+    const BkFleet *fleet = &peers->front->fleet;
+    u_int n = 0;
+
+    for (int i = 0; i < fleet->count && n < BKP_MAX_REMOVED; i++) {
+        const BkUp *up = fleet->ups[peers->next_removed++ % fleet->count];
+        if (up->removed && now - up->state_since < REMOVAL_MEMORY) {
+            rows[n++] = (bkp_removal){up->key, up->row_version};
+        }
+    }
+    *removals =
+        (bkp_removals){FrSync_GetReportEra(peers->front->sync), {n, rows}};
+}
+
 /* Adds a few random peers to the message, so that daemons find each other even
    without the store; only one once all that are known were heard of. */
 static void
@@ -158,8 +180,15 @@
     }
     int count =
         BkRoster_ChooseTargets(&peers->roster, peers->round, now, targets);
+    bkp_removal removal_rows[BKP_MAX_REMOVED];
+    bkp_removals removals;
+    fill_removals(peers, &removals, removal_rows, now);
     for (int i = 0; i < count; i++) {
         FrPeers_Send(peers, (const FrPeer *)targets[i], BKP_GOSSIP, &gossip);
+        if (removals.rows.rows_len > 0) {
+            FrPeers_Send(peers, (const FrPeer *)targets[i], BKP_REMOVALS,
+                         &removals);
+        }
         FrQuarantine_SendVerdicts(peers->front->quarantine,
                                   (const FrPeer *)targets[i], now);
     }
@@ -226,6 +255,22 @@
     }
 }
 
+void
+FrGossip_HandleRemovals(FrPeers *peers, const bkp_removals *removals)
+{
+    FrFront *front = peers->front;
+    BkMs now = BkClock_Now();
+
+    if (removals->store_era != FrSync_GetReportEra(front->sync)) {
+        return; /* their versions say nothing here */
+    }
+    for (u_int i = 0; i < removals->rows.rows_len; i++) {
+        const bkp_removal *row = &removals->rows.rows_val[i];
+        BkFleet_ApplyToldRemoval(&front->fleet, row->up, row->store_version,
+                                 now);
+    }
+}
+
 void
 FrGossip_Handle(FrPeers *peers, const bkp_gossip *gossip, const char *from)
 {
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -498,6 +498,12 @@
                                 BkClock_Now());
 }
 
+static void
+handle_removals(const void *message, const char *from, void *arg)
+{
+    FrGossip_HandleRemovals(arg, message);
+}
+
 static void
 handle_refused(const void *message, const char *from, void *arg)
 {
@@ -538,6 +544,8 @@
      sizeof(bkp_planner_beat), handle_planner_beat},
     {BKP_REFUSED, "refused", (xdrproc_t)xdr_bkp_refused, sizeof(bkp_refused),
      handle_refused},
+    {BKP_REMOVALS, "removals", (xdrproc_t)xdr_bkp_removals,
+     sizeof(bkp_removals), handle_removals},
     {BKP_REPORTS, "reports", (xdrproc_t)xdr_bkp_reports, sizeof(bkp_reports),
      handle_reports},
     {BKP_LOAD_UPDATE, "told", (xdrproc_t)xdr_bkp_load_update,
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -60,6 +60,7 @@
     BkCounter *far_bytes; /* sent to daemons in other failure domains */
     int next_total;       /* where the search for totals to send begins */
     int next_leaving;     /* the same for upstreams that are leaving */
+    int next_removed;     /* and for reports that were removed */
     BkTimer *timer;
     int round;
     /* The members table of the store (members.c): */
@@ -161,6 +162,7 @@
 /* Handles a peer's gossip; from is its address. */
 void FrGossip_Handle(FrPeers *peers, const bkp_gossip *gossip,
                      const char *from);
+void FrGossip_HandleRemovals(FrPeers *peers, const bkp_removals *removals);
 void FrGossip_HandlePlannerBeat(FrPeers *peers, const bkp_planner_beat *beat);
 
 /* loads.c: load at the upstreams, as exchanged between daemons */
--- a/src/peer/gen/peer_xdr.c
+++ b/src/peer/gen/peer_xdr.c
@@ -634,3 +634,28 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_bkp_removal (XDR *xdrs, bkp_removal *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_int (xdrs, &objp->up))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->store_version))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_bkp_removals (XDR *xdrs, bkp_removals *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->store_era))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->rows.rows_val, (u_int *) &objp->rows.rows_len, BKP_MAX_REMOVED,
+		sizeof (bkp_removal), (xdrproc_t) xdr_bkp_removal))
+		 return FALSE;
+	return TRUE;
+}
--- a/src/peer/peer.x
+++ b/src/peer/peer.x
@@ -22,6 +22,7 @@
 const BKP_MAX_WELL_RUNS = 24;
 const BKP_MAX_VERDICTS = 16;
 const BKP_MAX_LOST = 64;
+const BKP_MAX_REMOVED = 48;
 
 /* load that the sender causes at an upstream */
 struct bkp_load {
@@ -340,6 +341,19 @@
     unsigned int lost<BKP_MAX_LOST>;
 };
 
+/* an upstream whose report was removed from the store */
+struct bkp_removal {
+    unsigned int up;
+    unsigned hyper store_version; /* by which it was */
+};
+
+/* removals of the last seconds that the sender knows of, sent with its gossip:
+   a receiver may have missed the change, and be refused by the store */
+struct bkp_removals {
+    unsigned hyper store_era;
+    bkp_removal rows<BKP_MAX_REMOVED>;
+};
+
 program BKP_PROGRAM {
     version BKP_VERSION {
         void BKP_GOSSIP(bkp_gossip) = 1;
@@ -360,5 +374,6 @@
         void BKP_VERDICTS(bkp_verdicts) = 17;
         void BKP_LINKS(bkp_links) = 18;
         void BKP_REFUSED(bkp_refused) = 19;
+        void BKP_REMOVALS(bkp_removals) = 20;
     } = 2;
 } = 0x20426b02;
--- a/tests/proof/case_front_drain.py
+++ b/tests/proof/case_front_drain.py
@@ -34,3 +34,24 @@
          lambda: all(unusable(x) >= {"i-0", "i-1"} for x in readers))
     wait("front-9 knows", lambda: unusable(late) >= {"i-0", "i-1"},
          LEARN_TIMEOUT_S)
+
+
+@case
+def drain_missed_and_refused_by_store(world):
+    """A daemon that the store refuses, and that no message of the readers tells
+    of a removal, learns of it from what the others say."""
+    store, upstreams, _ = serve(world, 4)
+    readers = [Front(world, store, "front-%d" % n).await_ready()
+               for n in (2, 3)]
+    proxy = Proxy(store.addr)
+    late = Front(world, proxy, "front-9").await_ready()
+    wait("front-9 is no reader", lambda: late.events("reader") and
+         not late.events("reader")[-1]["is"])
+    proxy.refuse = True
+    proxy.reset()
+    with store.lock:  # in one answer: the readers tell only that there is one
+        Replica(store, "i-large").register(note=LARGE_NOTE)
+        store.put("servers", upstreams[1].id, None)
+    wait("the readers know", lambda: all(
+        "i-1" in unusable(x) for x in readers))
+    wait("front-9 knows", lambda: "i-1" in unusable(late), LEARN_TIMEOUT_S)
