--- a/src/front/reorder.c
+++ b/src/front/reorder.c
@@ -70,10 +70,13 @@
     if (buffer->count == FR_REORDER_MAX_MESSAGES) {
         /* later gossip of the peers will show that this daemon is behind, and
            it will ask the store */
-        BkLog_Event(BK_LOG_INFO, "sync", NULL, "reorder buffer full",
-                    "s:I, s:I", "dropped",
-                    (json_int_t)buffer->messages[0].to_store_version, "added",
-                    (json_int_t)message->to_store_version);
+        if (!buffer->overflowed) {
+            BkLog_Event(BK_LOG_INFO, "sync", NULL, "reorder buffer full",
+                        "s:I, s:I", "dropped",
+                        (json_int_t)buffer->messages[0].to_store_version,
+                        "added", (json_int_t)message->to_store_version);
+        }
+        buffer->overflowed = true;
         drop_at(buffer, 0);
     }
     FrReports_Copy(&buffer->messages[buffer->count++], message);
@@ -91,6 +94,7 @@
         if (buffer->messages[i].from_store_version <= version) {
             *out = buffer->messages[i];
             remove_at(buffer, i);
+            buffer->overflowed = false;
             return true;
         }
     }
@@ -103,4 +107,5 @@
     while (buffer->count > 0) {
         drop_at(buffer, buffer->count - 1);
     }
+    buffer->overflowed = false;
 }
--- a/src/front/reorder.h
+++ b/src/front/reorder.h
@@ -21,6 +21,7 @@
 typedef struct FrReorder {
     bkp_reports messages[FR_REORDER_MAX_MESSAGES]; /* in order of arrival */
     int count;
+    bool overflowed; /* messages were dropped since the last one was taken */
 } FrReorder;
 
 /* Makes a copy, to be freed by xdr_free, without the daemons to which the
@@ -28,7 +29,8 @@
 void FrReports_Copy(bkp_reports *copy, const bkp_reports *message);
 
 /* Buffers a copy of the message; one without rows, or that is in the buffer
- * already, is ignored. A full buffer drops its oldest message. */
+ * already, is ignored. A full buffer drops its oldest message, and logs the
+ * first of several. */
 void FrReorder_Add(FrReorder *buffer, const bkp_reports *message);
 
 /* Drops messages that end at version or before it, since they contain nothing
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -508,7 +508,12 @@
     bool reply_due = table->call_active && table->feed_wait == 0 &&
                      now - table->called_at < reply_timeout(table);
 
-    if (now - table->last_catch_up_at < CATCH_UP_INTERVAL || reply_due) {
+    /* the store refuses this daemon, and others tell it of removals */
+    bool retry_due = id == FR_TABLE_REPORTS && table->failures > 0 &&
+                     BkTimer_Running(table->timer);
+
+    if (now - table->last_catch_up_at < CATCH_UP_INTERVAL || reply_due ||
+        retry_due) {
         return;
     }
     BkLog_Event(BK_LOG_INFO, "sync", NULL, "behind another daemon", "s:s, s:I",
