--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -64,8 +64,8 @@
        over; negative: it names none */
     int64_t max_refusals;
     bool bad_max_refusals; /* it names one that is no number from 0 on */
-    bool leaving;        /* it gets no new requests from now on */
-    bool bad_leaving;    /* the field has another value than the known one */
+    bool leaving;          /* it gets no new requests from now on */
+    bool bad_leaving;      /* the field has another value than the known one */
     /* ms in which it wants nothing from this daemon, named in a refusal (503);
        0: none. At most a day; of several fields, the first counts. */
     BkMs hold_off;
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -86,7 +86,7 @@
         BK_LOG_INFO, "relay", request->id, "answered",
         "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
         "s:I, s:I, s:I, s:I, s:s?, s:I, s:s, "
-        "s:s, s:s, s:s, s:s",
+        "s:s, s:s, s:s, s:s, s:b",
         "route", request->route, "service", request->service, "model",
         request->model, "adapter", request->adapter, "code", code, "why",
         request->why, "upstream", request->last_up_id, "sends",
@@ -111,7 +111,7 @@
         "framing", framings[request->framing], "partial_event",
         (json_int_t)request->partial_event, "software", request->last_software,
         "resumed", request->resumed_id, "parts", BkBuf_C(&parts), "digest",
-        digest, "caller", request->caller_ip);
+        digest, "caller", request->caller_ip, "relayed", request->relayed);
     BkBuf_Destroy(&parts);
 }
 
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -185,6 +185,9 @@
         return FR_HEAD_PASS_BODY;
     }
     begin_fields(request, head);
+    if (not_run) {
+        request->why = "the other daemon refused it";
+    }
     return FR_HEAD_PASS_BODY;
 }
 
