--- a/src/front/detour.c
+++ b/src/front/detour.c
@@ -78,7 +78,7 @@
     FrFront *front = request->front;
     const FrPeers *peers = front->peers;
     BkReachVm *vms = BkMem_New((size_t)peers->count + 1, sizeof(*vms));
-    FrPeer **usable = BkMem_New((size_t)peers->count + 1, sizeof(*usable));
+    FrPeer **usable = BkMem_New((size_t)peers->count + 1, sizeof(FrPeer *));
     Choice choice = {0};
     int count = 0;
 
