attempt: log a response that the deadline cuts as one that ran

A stream or body that was cut at its deadline was logged and counted with code 503 and "no upstream was free in time", though its upstream had begun to answer; the caller got the cut response either way. Seen in the log of endless_body.

--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -449,7 +449,7 @@
         }
         return;
     }
-    if (request->stage == FR_SENT) {
+    if (request->conn != NULL) {
         request->run_count++;
     }
     if (request->run_count > 0) {
