--- a/tests/proof/case_front_endless.py
+++ b/tests/proof/case_front_endless.py
@@ -6,7 +6,7 @@
 from basics import case, check, wait
 from case_front import runs, serve, set_handlers
 from case_front_state import ask, engines
-from platform_standins import Caller
+from platform_standins import Caller, raw_request
 
 CLOSED_S = 2        # until the connection is closed
 MAX_MEMORY_KB = 128 * 1024
@@ -92,6 +92,21 @@
         check_closed(front, upstreams, "/flow/", name, kind)
 
 
+def read_to_end(caller):
+    """Reads until the connection ends, without looking at the bytes, which a
+    slow parser would be late with; returns the first and the last ones."""
+    head, tail = b"", b""
+    while True:
+        try:
+            data = caller.sock.recv(1 << 20)
+        except ConnectionResetError:
+            data = b""
+        if not data:
+            return head, tail
+        head = (head + data)[:1024]
+        tail = (tail + data)[-64:]
+
+
 @case
 def endless_body(world):
     """A body without an end is passed on until the caller's deadline, at the
@@ -102,8 +117,11 @@
     caller = Caller(front)
     caller.sock.setsockopt(1, 8, 64 * 1024)  # SO_RCVBUF
     began = time.monotonic()
-    code, _, _, whole = caller.ask("/once/", b"", X_Deadline_Ms="1000")
-    check(code == 200 and not whole, "%s, whole: %s", code, whole)
+    caller.send(raw_request("/once/", b"", X_Deadline_Ms="1000"))
+    head, tail = read_to_end(caller)
+    check(head.startswith(b"HTTP/1.1 200 ") and b"chunked" in head,
+          "%r", head[:200])
+    check(not tail.endswith(b"0\r\n\r\n"), "it looks complete: %r", tail)
     check(time.monotonic() - began < 1 + CLOSED_S, "cut late")
     check(endless.closed.wait(CLOSED_S), "the upstream was not let go")
     check(peak_memory_kb(front) < MAX_MEMORY_KB, "%d kB of memory",
