detour: compare configurations before looking for the route

A daemon with an older configuration answered a relayed request with 404 when the route was new, since the route was looked for first.

--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -212,6 +212,10 @@
         FrCallerConn_ReplyError(caller_conn, 400, rejection, 0);
         return;
     }
+    if (caller_conn->from_daemon &&
+        !FrDetour_Accept(caller_conn, head, &detour)) {
+        return;
+    }
     const BkSiteRoute *route = BkSite_FindRoute(
         front->site, BkH1Head_Find(head, "Host"), BkStr_Split(&target, '?'));
     if (route == NULL) {
@@ -220,10 +224,6 @@
         FrCallerConn_ReplyError(caller_conn, 404, "no route leads there", 0);
         return;
     }
-    if (caller_conn->from_daemon &&
-        !FrDetour_Accept(caller_conn, head, &detour)) {
-        return;
-    }
     FrRequest *request = create_request(caller_conn, route, &fields);
     caller_conn->request = request;
     request->bodiless = BkStr_Equal(head->method, BK_STR("HEAD"));
--- a/tests/proof/case_front_detour.py
+++ b/tests/proof/case_front_detour.py
@@ -120,3 +120,23 @@
     check(not any(x.events("term begins")[1:] for x in [planner]),
           "the planner without links began another term")
     check_fences(engines)
+
+
+@case
+def detour_by_older_configuration(world):
+    """A VM with an older configuration does not answer a request of another VM
+    by it: a third one serves the request."""
+    store, replicas, fronts = serve_linked(world, ["f-1", "f-2", "f-3"])
+    fronts[0].paths = ("once",)
+    cut_and_wait(fronts[0])
+    fronts[1].links.error_status = 503
+    wait("f-2 is refused by the store",
+         lambda: fronts[1].events("read failed"))
+    configure(store, 2, [route("safe", "safe"), route("new", "safe")])
+    for front in (fronts[0], fronts[2]):
+        wait("%s has version 2" % front.name, lambda: any(
+            x["version"] == 2 for x in front.events("configuration")))
+    codes = [Caller(fronts[0]).ask("/new/", b"")[0] for _ in range(20)]
+    check(codes == [200] * 20, "%s", codes)
+    check(any(x["why"] == "its configuration is older"
+              for x in fronts[1].events("refused")), "f-2 was not asked")
