--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -40,9 +40,8 @@
     return request->repeatable && request->run_count < request->max_runs;
 }
 
-/* Whether the route allows another run besides the current attempt. */
-static bool
-may_replace_attempt(const FrRequest *request)
+bool
+FrRequest_MayReplaceAttempt(const FrRequest *request)
 {
     return request->repeatable && request->run_count + 1 < request->max_runs;
 }
@@ -53,8 +52,8 @@
     BkMs fire_at = request->deadline;
 
     if (request->stage == FR_SENT && request->kind == BK_ROUTE_SAFE &&
-        may_replace_attempt(request) && retry_time(request) < fire_at &&
-        retry_time(request) > now) {
+        FrRequest_MayReplaceAttempt(request) &&
+        retry_time(request) < fire_at && retry_time(request) > now) {
         fire_at = retry_time(request);
     }
     BkTimer_Start(request->timer, fire_at - now);
--- a/src/front/breaks.c
+++ b/src/front/breaks.c
@@ -119,47 +119,41 @@
     BkTimer_Start(broken->timer, COLLECT_TIME);
 }
 
-/* Whether to wait until it is known that this daemon's links work. Logs a crash
-   that is not to be reported, since they do not. */
+/* Reports the crash once this daemon's links are known to work. Returns false if
+   that is still to be found out. */
 static bool
-awaits_links(FrBreak *broken, bool *dropped)
+report_if_links_work(FrBreak *broken)
 {
     const FrLinks *links = broken->quarantine->front->links;
-    BkMs age = BkClock_Now() - broken->at;
 
-    *dropped = false;
     if (FrLinks_WorkedSince(links, broken->up, broken->at)) {
-        return false;
-    }
-    if (age < CONFIRM_TIME) {
-        BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
+        report(broken);
         return true;
     }
-    *dropped = true;
+    if (BkClock_Now() - broken->at < CONFIRM_TIME) {
+        return false;
+    }
     BkLog_Event(BK_LOG_INFO, "quarantine", NULL, "crash not reported",
                 "s:s, s:i, s:s", "upstream", broken->up->id, "suspects",
                 broken->count, "why",
                 "no other upstream can be connected to either");
-    return false;
+    return true;
 }
 
 static void
 on_timer(void *arg)
 {
     FrBreak *broken = arg;
-    bool dropped;
 
     switch (broken->state) {
     case BREAK_CONNECTING:
         set_ended(broken);
         return;
     case BREAK_ENDED:
-        if (awaits_links(broken, &dropped)) {
+        if (!report_if_links_work(broken)) {
+            BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
             return;
         }
-        if (!dropped) {
-            report(broken);
-        }
         break;
     case BREAK_ALIVE:
         BkLog_Event(BK_LOG_DEBUG, "quarantine", NULL, "upstream did not crash",
--- a/src/front/detour.c
+++ b/src/front/detour.c
@@ -10,8 +10,9 @@
     /* ms in which a daemon that refused a request for another reason than its
        load is not used */
     PEER_BACKOFF = 1000,
-    RETRY_AFTER =
-        200 /* ms; for the daemon that sent it, which does not wait */
+    /* ms; the daemon that sent a request tries another one at once, and a
+       caller comes back when others may have room */
+    RETRY_AFTER = 200
 };
 
 static const char field_name[] = "Bk-Detour";
@@ -179,6 +180,7 @@
 void
 FrDetour_Refuse(FrCallerConn *conn, FrRefusal refusal, const char *why)
 {
+    log_refusal(NULL, why);
     conn->refusal = refusal;
     FrCallerConn_ReplyError(conn, 503, why, RETRY_AFTER);
 }
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -110,13 +110,10 @@
     tell_peers(arg);
 }
 
+/* The links to a service were lost or regained. */
 static void
-log_change(FrLinks *links, const BkUp *up, const char *event, BkMs lasted)
+announce_change(FrLinks *links)
 {
-    BkCounter_Add(links->lost, lasted < 0 ? 1 : -1);
-    BkLog_Event(BK_LOG_NOTICE, "links", NULL, event, "s:s, s:I", "service",
-                up->service, "after_ms",
-                (json_int_t)(lasted < 0 ? 0 : lasted));
     tell_peers(links);
     FrQueue_SchedulePass(links->front, 0);
 }
@@ -158,7 +155,11 @@
     Row *row = find_or_add_row(links, up->service_key);
 
     if (row != NULL && BkReach_NoteConnected(&row->reach, now)) {
-        log_change(links, up, "links regained", now - row->reach.lost_at);
+        BkCounter_Add(links->lost, -1);
+        BkLog_Event(BK_LOG_NOTICE, "links", NULL, "links regained", "s:s, s:I",
+                    "service", up->service, "after_ms",
+                    (json_int_t)(now - row->reach.lost_at));
+        announce_change(links);
     }
 }
 
@@ -172,7 +173,10 @@
     }
     BkReach_NoteFailed(&row->reach, up->key, probe, started_at);
     if (BkReach_Decide(&row->reach, &links->front->fleet, BkClock_Now())) {
-        log_change(links, up, "links lost", -1);
+        BkCounter_Add(links->lost, 1);
+        BkLog_Event(BK_LOG_NOTICE, "links", NULL, "links lost", "s:s",
+                    "service", up->service);
+        announce_change(links);
     }
     if (row->reach.failed_count > 0 && !BkTimer_Running(row->probe_timer)) {
         BkTimer_Start(row->probe_timer, 0);
--- a/src/front/request.h
+++ b/src/front/request.h
@@ -23,6 +23,9 @@
 /* Cancels the current attempt, if any, and ignores its result. */
 void FrRequest_AbortAttempt(FrRequest *request);
 
+/* Whether the route allows another run besides the current attempt. */
+bool FrRequest_MayReplaceAttempt(const FrRequest *request);
+
 /* Sends the request to the upstream, or to another daemon, and adds it to the
  * load there. */
 void FrRequest_SendTo(FrRequest *request, BkUp *up, BkMs now);
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -99,7 +99,7 @@
 
 /* Takes over the head of the response that the caller is to get. */
 static void
-begin_fields(FrRequest *request, const BkH1Head *head)
+take_over_head(FrRequest *request, const BkH1Head *head)
 {
     copy_fields(request, head);
     request->response_code = head->http_status;
@@ -128,13 +128,7 @@
     return BkStr_Equal(fields->request_id, BkStr_FromC(request->id));
 }
 
-static bool
-may_run_again_later(const FrRequest *request)
-{
-    return request->repeatable && request->run_count + 1 < request->max_runs;
-}
-
-/* The same for a run by way of another daemon, which is not to be avoided. */
+/* Ends a run by way of another daemon, which is not to be avoided for it. */
 static FrHeadAction
 fail_relayed_run(FrRequest *request)
 {
@@ -169,7 +163,8 @@
                               "the stream was not gone on with");
         return FR_HEAD_RELEASED;
     }
-    if (!not_run && head->http_status >= 500 && may_run_again_later(request)) {
+    if (!not_run && head->http_status >= 500 &&
+        FrRequest_MayReplaceAttempt(request)) {
         return fail_relayed_run(request);
     }
     if (not_run && request->run_count > 0) {
@@ -184,7 +179,7 @@
     if (request->stage == FR_RESPONDING) {
         return FR_HEAD_PASS_BODY;
     }
-    begin_fields(request, head);
+    take_over_head(request, head);
     if (not_run) {
         request->why = "the other daemon refused it";
     }
@@ -223,7 +218,7 @@
     if (head->http_status >= 300 && request->stage == FR_RESPONDING) {
         return fail_possible_run(request, "the stream was not gone on with");
     }
-    if (head->http_status >= 500 && may_run_again_later(request)) {
+    if (head->http_status >= 500 && FrRequest_MayReplaceAttempt(request)) {
         return fail_possible_run(request, "the upstream failed");
     }
     if (promises_not_run(head->http_status)) {
@@ -234,7 +229,7 @@
         /* a resumed stream: the caller already has a head */
         return FR_HEAD_PASS_BODY;
     }
-    begin_fields(request, head);
+    take_over_head(request, head);
     return FR_HEAD_PASS_BODY;
 }
 
