--- a/tests/proof/case_front_brittle.py
+++ b/tests/proof/case_front_brittle.py
@@ -65,18 +65,24 @@
     check(used >= USED, "%.2f of the room was used", used)
 
 
-@case
-def brittle_service(world):
-    """All daemons together keep to the room of a plain service's upstreams,
-    and use it, while callers ask for more than that."""
+def serve_brittle(world, front_count):
     store = Store()
     configure(store, 1, [route("once", "unsafe")])
     brittle = [BrittleUpstream(Replica(store, "i-%d" % n, slots=SLOTS))
                for n in range(3)]
-    fronts = [Front(world, store, "front-%d" % n) for n in range(3)]
+    fronts = [Front(world, store, "front-%d" % n)
+              for n in range(front_count)]
     for front in fronts:
         front.await_ready()
     hear_each_other(fronts)
+    return store, brittle, fronts
+
+
+@case
+def brittle_service(world):
+    """All daemons together keep to the room of a plain service's upstreams,
+    and use it, while callers ask for more than that."""
+    _, brittle, fronts = serve_brittle(world, 3)
     press(fronts * 3, 9, lambda caller: caller.ask(
         "/once/", b"", X_Deadline_Ms="1000"))
     check_brittle(brittle, 9)
@@ -99,14 +105,7 @@
 def brittle_while_daemons_come_and_go(world):
     """Daemons, among them those that count the requests of all, are killed,
     started again and frozen, and a new one joins."""
-    store = Store()
-    configure(store, 1, [route("once", "unsafe")])
-    brittle = [BrittleUpstream(Replica(store, "i-%d" % n, slots=SLOTS))
-               for n in range(3)]
-    fronts = [Front(world, store, "front-%d" % n) for n in range(5)]
-    for front in fronts:
-        front.await_ready()
-    hear_each_other(fronts)
+    store, brittle, fronts = serve_brittle(world, 5)
 
     def disturb():
         time.sleep(CONTACT_S)
--- a/tests/proof/case_front_drain.py
+++ b/tests/proof/case_front_drain.py
@@ -13,10 +13,9 @@
             if x["is"] in ("leaving", "gone")}
 
 
-@case
-def drain_behind_and_refused_by_store(world):
-    """A daemon that has missed a change, and that the store refuses while it
-    answers the others, still learns of later changes from the others."""
+def refuse_one(world):
+    """Starts daemons, two of which read the store, and has the store refuse one
+    of the others."""
     store, upstreams, _ = serve(world, 4)
     readers = [Front(world, store, "front-%d" % n).await_ready()
                for n in (2, 3)]
@@ -26,6 +25,14 @@
          not late.events("reader")[-1]["is"])
     proxy.refuse = True
     proxy.reset()
+    return store, upstreams, readers, late
+
+
+@case
+def drain_behind_and_refused_by_store(world):
+    """A daemon that has missed a change, and that the store refuses while it
+    answers the others, still learns of later changes from the others."""
+    store, upstreams, readers, late = refuse_one(world)
     Replica(store, "i-large").register(note=LARGE_NOTE)
     wait("front-9 asks the store", lambda: late.events("read failed"))
     upstreams[0].register(state="draining", sequence=2)
@@ -40,15 +47,7 @@
 def drain_missed_and_refused_by_store(world):
     """A daemon that the store refuses, and that no message of the readers tells
     of a removal, learns of it from what the others say."""
-    store, upstreams, _ = serve(world, 4)
-    readers = [Front(world, store, "front-%d" % n).await_ready()
-               for n in (2, 3)]
-    proxy = Proxy(store.addr)
-    late = Front(world, proxy, "front-9").await_ready()
-    wait("front-9 is no reader", lambda: late.events("reader") and
-         not late.events("reader")[-1]["is"])
-    proxy.refuse = True
-    proxy.reset()
+    store, upstreams, readers, late = refuse_one(world)
     with store.lock:  # in one answer: the readers tell only that there is one
         Replica(store, "i-large").register(note=LARGE_NOTE)
         store.put("servers", upstreams[1].id, None)
