--- a/src/front/detour.h
+++ b/src/front/detour.h
@@ -9,11 +9,10 @@
  * decides about further runs.
  *
  * The field Bk-Detour of a request has the version of the first daemon's
- * configuration, how many daemons have refused it, and the software version that
- * its stream is bound to; in a
- * response, the software version of the upstream, or a word: the request was not
- * run, and another daemon may serve it ("elsewhere"), or this one too if no
- * other does ("full").
+ * configuration, how many daemons have refused it, and the software version
+ * that its stream is bound to. In a response it has the software version of the
+ * upstream, or a word: the request was not run, and another daemon may serve it
+ * ("elsewhere"), or this one too if no other does ("full").
  */
 #ifndef BK_FRONT_DETOUR_H
 #define BK_FRONT_DETOUR_H
@@ -23,9 +22,9 @@
 
 /* What the field of a request says. */
 typedef struct FrDetourFields {
-    uint64_t config; /* version */
-    int64_t tries;
-    int64_t software; /* key of its name; 0: any */
+    uint64_t config;  /* version of the first daemon's configuration */
+    int64_t tries;    /* daemons that refused it; see BkReach_MayTake */
+    int64_t software; /* key of the version's name; 0: any */
 } FrDetourFields;
 
 /* What the field of a response says. */
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -65,8 +65,7 @@
 /* A service whose upstreams fall over when they refuse many requests. */
 typedef struct FrBrittleService {
     uint32_t service;
-    int64_t max_refusals; /* in a second, as one of them named last */
-    BkMs named_at;
+    BkMs named_at; /* when one of them last said so */
 } FrBrittleService;
 
 /* A model that the planner loads, or will load, on an engine. */
--- a/src/front/loads.c
+++ b/src/front/loads.c
@@ -15,8 +15,8 @@
 };
 
 /* Derives the load of the other daemons. The coordinator's own count is the
-   newest, once it is complete. Otherwise both are parts of the truth, and the larger one is nearer
-   to it. */
+   newest, once it is complete. Otherwise both are parts of the truth, and the
+   larger one is nearer to it. */
 static void
 update_peer_load(BkUp *up, BkMs now)
 {
--- a/src/front/signals.c
+++ b/src/front/signals.c
@@ -77,8 +77,7 @@
                     "s:s, s:s, s:I", "service", up->service, "upstream",
                     up->id, "max_refusals", (json_int_t)max_refusals);
     }
-    front->brittle_services[i] =
-        (FrBrittleService){up->service_key, max_refusals, now};
+    front->brittle_services[i] = (FrBrittleService){up->service_key, now};
 }
 
 /* A response without the word, which ends it unless another upstream has just
