quarantine: confirm the links at once, also when all upstreams end

Now up to three others are tried as soon as an upstream has ended, a connection begun after the crash confirms, and so does the word of all other daemons that they have lost the links too. The links of a VM in the proofs are cut at once, not one after the other.

--- a/include/bk/reach/reach.h
+++ b/include/bk/reach/reach.h
@@ -34,14 +34,17 @@
     int failed_count;  /* attempts since then, also repeated ones */
     int failed_probes; /* of these, probes */
     BkMs connected_at; /* last success; BK_MS_NEVER: none yet */
+    /* when the latest of the attempts that succeeded had begun */
+    BkMs worked_at;
     bool lost;
     BkMs lost_at;
 } BkReach;
 
 BkReach BkReach_Make(uint32_t service);
 
-/* An upstream accepted a connection. Returns whether the links were lost. */
-bool BkReach_NoteConnected(BkReach *reach, BkMs now);
+/* An upstream accepted a connection that was begun at started_at. Returns
+ * whether the links were lost. */
+bool BkReach_NoteConnected(BkReach *reach, BkMs started_at, BkMs now);
 
 /* An attempt that began at started_at failed. It says nothing if another one
  * has succeeded since. */
@@ -56,6 +59,11 @@
  * any. NULL if none is open. */
 BkUp *BkReach_ChooseProbe(BkReach *reach, const BkFleet *fleet, BkRng *rng);
 
+/* Chooses up to max other open upstreams of the same service at random; returns
+ * how many. */
+int BkReach_ChooseOthers(const BkFleet *fleet, const BkUp *up, BkRng *rng,
+                         BkUp **out, int max);
+
 /* Another VM, by way of which a request may go. */
 typedef struct BkReachVm {
     bool near;     /* in the own failure domain */
--- a/src/front/breaks.c
+++ b/src/front/breaks.c
@@ -19,7 +19,7 @@
     /* ms in which another upstream must accept a connection: else this
        daemon's links may have failed, and not the process */
     CONFIRM_TIME = 600,
-    CONFIRM_INTERVAL = 20 /* ms */
+    CONFIRM_INTERVAL = 150 /* ms; each time, further ones are tried */
 };
 
 typedef enum BreakState {
@@ -97,6 +97,9 @@
     FrLinks_NoteFailed(broken->quarantine->front->links, broken->up, false,
                        broken->at);
     broken->state = BREAK_ENDED;
+    /* by the time the crash is reported, an answer may have come */
+    FrLinks_CheckSince(broken->quarantine->front->links, broken->up,
+                       broken->at);
     BkTimer_Start(broken->timer, rest > 0 ? rest : 0);
 }
 
@@ -114,7 +117,7 @@
     }
     close_connection(broken);
     FrLinks_NoteConnected(broken->quarantine->front->links, broken->up,
-                          BkClock_Now());
+                          broken->at);
     broken->state = BREAK_ALIVE;
     BkTimer_Start(broken->timer, COLLECT_TIME);
 }
@@ -124,9 +127,9 @@
 static bool
 report_if_links_work(FrBreak *broken)
 {
-    const FrLinks *links = broken->quarantine->front->links;
+    FrLinks *links = broken->quarantine->front->links;
 
-    if (FrLinks_WorkedSince(links, broken->up, broken->at)) {
+    if (FrLinks_CheckSince(links, broken->up, broken->at)) {
         report(broken);
         return true;
     }
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -150,11 +150,12 @@
 }
 
 void
-FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs now)
+FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs started_at)
 {
     Row *row = find_or_add_row(links, up->service_key);
+    BkMs now = BkClock_Now();
 
-    if (row != NULL && BkReach_NoteConnected(&row->reach, now)) {
+    if (row != NULL && BkReach_NoteConnected(&row->reach, started_at, now)) {
         BkCounter_Add(links->lost, -1);
         BkLog_Event(BK_LOG_NOTICE, "links", NULL, "links regained", "s:s, s:I",
                     "service", up->service, "after_ms",
@@ -183,25 +184,41 @@
     }
 }
 
+/* Whether all other daemons have told that they lost the links too. */
+static bool
+have_all_lost(const FrLinks *links, uint32_t service)
+{
+    const FrPeers *peers = links->front->peers;
+    BkMs now = BkClock_Now();
+
+    for (int i = 0; i < peers->count; i++) {
+        const FrPeer *peer = peers->list[i];
+        if (FrPeers_IsAlive(peers, peer, now) &&
+            !FrLinks_HasPeerLost(peer, service, now)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
-FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at)
+FrLinks_CheckSince(FrLinks *links, const BkUp *up, BkMs at)
 {
-    const Row *row = find_row((FrLinks *)links, up->service_key);
-    const BkFleet *fleet = &links->front->fleet;
-    int others = 0;
+    FrFront *front = links->front;
+    const Row *row = find_row(links, up->service_key);
+    BkUp *others[BK_REACH_PROBES];
 
-    if (row != NULL && row->reach.connected_at != BK_MS_NEVER &&
-        row->reach.connected_at >= at && row->reach.failed_count == 0) {
+    if (row != NULL && row->reach.worked_at >= at) {
         return true;
     }
-    for (int i = 0; i < fleet->count; i++) {
-        const BkUp *other = fleet->ups[i];
-        others += other != up && other->service_key == up->service_key &&
-                          BkUp_IsOpen(other)
-                      ? 1
-                      : 0;
+    int count = BkReach_ChooseOthers(&front->fleet, up, &front->rng, others,
+                                     BK_REACH_PROBES);
+    for (int i = 0; i < count; i++) {
+        if (FrUpConn_OpenIdle(front, others[i])) {
+            BkCounter_Add(links->probes, 1);
+        }
     }
-    return others == 0;
+    return count == 0 || have_all_lost(links, up->service_key);
 }
 
 bool
--- a/src/front/links.h
+++ b/src/front/links.h
@@ -15,8 +15,8 @@
 FrLinks *FrLinks_Create(FrFront *front);
 void FrLinks_Destroy(FrLinks *links);
 
-/* The upstream accepted a connection. */
-void FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs now);
+/* The upstream accepted a connection that was begun at started_at. */
+void FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs started_at);
 
 /* An attempt to connect to the upstream, begun at started_at, has failed. probe:
  * it was one of this file's own. */
@@ -30,10 +30,11 @@
  * service. */
 bool FrLinks_HasPeerLost(const FrPeer *peer, uint32_t service, BkMs now);
 
-/* Whether an upstream of the same service accepted a connection at that time
- * or later, and none failed to since; also true if this is the only one that is
- * open. */
-bool FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at);
+/* Whether an upstream of the same service accepted a connection that was begun
+ * at that time or later, so that what has failed was not this daemon's links;
+ * also true if this is the only one that is open, or all daemons have lost the
+ * links. Tries other upstreams if none did. */
+bool FrLinks_CheckSince(FrLinks *links, const BkUp *up, BkMs at);
 
 /* Whether no upstream of the service can be connected to, although the store
  * lists some. */
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -380,7 +380,7 @@
     }
     BkTimer_Stop(conn->timer);
     if (!conn->up->is_daemon) {
-        FrLinks_NoteConnected(conn->front->links, conn->up, BkClock_Now());
+        FrLinks_NoteConnected(conn->front->links, conn->up, conn->opened_at);
     }
     if (conn->request == NULL) {
         make_idle(conn);
--- a/src/reach/reach.c
+++ b/src/reach/reach.c
@@ -7,10 +7,13 @@
 }
 
 bool
-BkReach_NoteConnected(BkReach *reach, BkMs now)
+BkReach_NoteConnected(BkReach *reach, BkMs started_at, BkMs now)
 {
     bool was_lost = reach->lost;
 
+    if (started_at > reach->worked_at) {
+        reach->worked_at = started_at;
+    }
     reach->tried_count = 0;
     reach->failed_count = 0;
     reach->failed_probes = 0;
@@ -103,3 +106,30 @@
     }
     return best;
 }
+
+int
+BkReach_ChooseOthers(const BkFleet *fleet, const BkUp *up, BkRng *rng,
+                     BkUp **out, int max)
+{
+    uint32_t seen = 0;
+    int count = 0;
+
+    for (int i = 0; i < fleet->count; i++) {
+        BkUp *other = fleet->ups[i];
+        if (other == up || other->service_key != up->service_key ||
+            !BkUp_IsOpen(other)) {
+            continue;
+        }
+        seen++;
+        if (count < max) {
+            out[count++] = other;
+        }
+        else {
+            uint32_t place = BkRng_Below(rng, seen);
+            if (place < (uint32_t)max) {
+                out[place] = other;
+            }
+        }
+    }
+    return count;
+}
--- a/tests/proof/links.py
+++ b/tests/proof/links.py
@@ -36,11 +36,8 @@
             filler.connect_ex(("127.0.0.1", self.port))
             self.fillers.append(filler)
 
-    def cut(self, how):
-        """how: "hang": nothing is delivered, and new connections get no
-        answer; "reset": open connections are reset, and new ones refused;
-        "live": open connections go on, and new ones are refused."""
-        self.close_listener()
+    def cut_open(self, how):
+        """What the cut does to open connections, after close_listener."""
         if how == "hang":
             with self.lock:
                 for pair in self.pairs:
@@ -94,8 +91,13 @@
         return base64.b64encode(json.dumps(report).encode()).decode()
 
     def cut(self, how):
+        """how: "hang": nothing is delivered, and new connections get no
+        answer; "reset": open connections are reset, and new ones refused;
+        "live": open connections go on, and new ones are refused."""
+        for link in self.links.values():
+            link.close_listener()
         for link in self.links.values():
-            link.cut(how)
+            link.cut_open(how)
 
     def restore(self):
         for link in self.links.values():
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -61,7 +61,8 @@
                      reach->tried_count > before ? "untried" : "any");
     }
     else if (strcmp(words[2], "connected") == 0) {
-        bool regained = BkReach_NoteConnected(reach, atoll(words[1]));
+        bool regained =
+            BkReach_NoteConnected(reach, atoll(words[1]), atoll(words[1]));
         BkBuf_Printf(out, "  %s\n", regained ? "regained" : "connected");
     }
     else {
