links: log when there is no room for a service; reword a comment

Unit 34 of 34, front_recover 8, and with sanitizers front_detour 4 and front_brittle 3 pass; lint is clean.

--- a/src/front/links.c
+++ b/src/front/links.c
@@ -27,6 +27,7 @@
     FrFront *front;
     Row rows[FR_MAX_SERVICES];
     int count;
+    bool full_logged; /* that there is no room for another service */
     BkTimer *tell_timer;
     BkCounter *lost; /* gauge */
     BkCounter *probes;
@@ -66,10 +67,18 @@
 
 /* NULL: there is no room for another service */
 static Row *
-find_or_add_row(FrLinks *links, uint32_t service)
+find_or_add_row(FrLinks *links, const BkUp *up)
 {
+    uint32_t service = up->service_key;
     Row *row = find_row(links, service);
 
+    if (row == NULL && links->count == FR_MAX_SERVICES &&
+        !links->full_logged) {
+        links->full_logged = true;
+        BkLog_Event(BK_LOG_WARNING, "links", NULL,
+                    "no room for a service's links", "s:s", "service",
+                    up->service);
+    }
     if (row == NULL && links->count < FR_MAX_SERVICES) {
         row = &links->rows[links->count++];
         row->links = links;
@@ -152,7 +161,7 @@
 void
 FrLinks_NoteConnected(FrLinks *links, const BkUp *up, BkMs started_at)
 {
-    Row *row = find_or_add_row(links, up->service_key);
+    Row *row = find_or_add_row(links, up);
     BkMs now = BkClock_Now();
 
     if (row != NULL && BkReach_NoteConnected(&row->reach, started_at, now)) {
@@ -167,7 +176,7 @@
 void
 FrLinks_NoteFailed(FrLinks *links, const BkUp *up, bool probe, BkMs started_at)
 {
-    Row *row = find_or_add_row(links, up->service_key);
+    Row *row = find_or_add_row(links, up);
 
     if (row == NULL || !BkUp_IsOpen(up)) {
         return;
--- a/src/front/signals.c
+++ b/src/front/signals.c
@@ -58,8 +58,8 @@
     return find_brittle(front, service) < front->brittle_count;
 }
 
-/* All upstreams of a service are brittle at the same time, so that the word of
-   one counts for all. */
+/* All upstreams of a service are brittle at the same time, so a response of one
+   counts for the others too. */
 static void
 note_brittle(FrFront *front, const BkUp *up, int64_t max_refusals, BkMs now)
 {
