budget, relay: log each retry with what granted it, and bytes that an aborted attempt leaves unacknowledged

A granted retry now logs the requests, retries and limit of the window, the daemons and the age of the process; a denied one does at level debug, as the refusal is logged already. attempt aborted tells how much may still be under way; attempt failed and answered tell the arrivals.

--- a/include/bk/budget/budget.h
+++ b/include/bk/budget/budget.h
@@ -52,4 +52,14 @@
 bool BkBudget_TakeRetry(BkBudget *budget, const BkBudgetConf *conf,
                         int daemons, BkMs now);
 
+/* What a decision about a retry is based on, for the log. */
+typedef struct BkBudgetState {
+    double requests; /* in the last window */
+    double retries;  /* in the last window */
+    double limit;    /* of these */
+} BkBudgetState;
+
+BkBudgetState BkBudget_Inspect(BkBudget *budget, const BkBudgetConf *conf,
+                               int daemons, BkMs now);
+
 #endif
--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -39,19 +39,30 @@
     budget->requests[budget->newest_slice % BK_BUDGET_SLICES] += 1;
 }
 
-bool
-BkBudget_TakeRetry(BkBudget *budget, const BkBudgetConf *conf, int daemons,
-                   BkMs now)
+BkBudgetState
+BkBudget_Inspect(BkBudget *budget, const BkBudgetConf *conf, int daemons,
+                 BkMs now)
 {
     advance(budget, conf, now);
     double windows_since_start =
         (double)(now - conf->started_at) / (double)conf->window;
     double slack_part = conf->slack / daemons *
                         (windows_since_start < 1 ? windows_since_start : 1);
-    double limit = conf->usable_share *
-                   (conf->ratio * sum_slices(budget->requests) + slack_part);
+    double requests = sum_slices(budget->requests);
+
+    return (BkBudgetState){.requests = requests,
+                           .retries = sum_slices(budget->retries),
+                           .limit = conf->usable_share *
+                                    (conf->ratio * requests + slack_part)};
+}
+
+bool
+BkBudget_TakeRetry(BkBudget *budget, const BkBudgetConf *conf, int daemons,
+                   BkMs now)
+{
+    BkBudgetState state = BkBudget_Inspect(budget, conf, daemons, now);
 
-    if (sum_slices(budget->retries) + 1 > limit) {
+    if (state.retries + 1 > state.limit) {
         return false;
     }
     budget->retries[budget->newest_slice % BK_BUDGET_SLICES] += 1;
--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -64,7 +64,7 @@
 {
     FrFront *front = request->front;
 
-    if (FrFront_TakeRetry(front, request->query.service, now)) {
+    if (FrFront_TakeRetry(front, request, now)) {
         BkCounter_Add(front->metrics.retries, 1);
         return true;
     }
@@ -418,10 +418,11 @@
         count_failure(up, now);
     }
     BkLog_Event(BK_LOG_INFO, "relay", request->id, "attempt failed",
-                "s:s, s:s, s:s, s:b, s:I, s:i, s:i", "upstream", up->id,
+                "s:s, s:s, s:s, s:b, s:I, s:i, s:i, s:i", "upstream", up->id,
                 "software", up->software, "why", why, "may_have_run",
                 may_have_run, "after_ms", (json_int_t)(now - request->sent_at),
-                "sends", request->send_count, "code", request->last_up_code);
+                "sends", request->send_count, "arrivals",
+                request->arrival_count, "code", request->last_up_code);
     if (!up->is_daemon &&
         (!BkAdapter_IsMisdirected(request->last_up_code) || may_have_run)) {
         /* an upstream that only lacked the model does not count as tried: it
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -89,12 +89,21 @@
 }
 
 bool
-FrFront_TakeRetry(FrFront *front, uint32_t service, BkMs now)
+FrFront_TakeRetry(FrFront *front, const FrRequest *request, BkMs now)
 {
     BkBudgetConf conf = make_budget_conf(front);
+    BkBudget *budget = find_or_add_budget(front, request->query.service);
+    int daemons = FrFront_CountDaemons(front);
+    BkBudgetState state = BkBudget_Inspect(budget, &conf, daemons, now);
+    bool granted = BkBudget_TakeRetry(budget, &conf, daemons, now);
 
-    return BkBudget_TakeRetry(find_or_add_budget(front, service), &conf,
-                              FrFront_CountDaemons(front), now);
+    BkLog_Event(granted ? BK_LOG_INFO : BK_LOG_DEBUG, "budget", request->id,
+                "retry", "s:s, s:b, s:i, s:f, s:f, s:f, s:i, s:I", "service",
+                request->service, "granted", granted, "arrivals",
+                request->arrival_count, "requests", state.requests, "retries",
+                state.retries, "limit", state.limit, "daemons", daemons,
+                "up_ms", (json_int_t)(now - front->started_at));
+    return granted;
 }
 
 bool
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -188,9 +188,9 @@
 /* Counts a caller's request, which adds to the service's retry budget. */
 void FrFront_CountRequest(FrFront *front, uint32_t service, BkMs now);
 
-/* Counts one retry if the service's retry budget allows it, else returns
- * false. */
-bool FrFront_TakeRetry(FrFront *front, uint32_t service, BkMs now);
+/* Counts a retry of the request if the retry budget of its service allows it,
+ * else returns false. */
+bool FrFront_TakeRetry(FrFront *front, const FrRequest *request, BkMs now);
 
 /* Number of daemons that may share the retry budget, including this one. */
 int FrFront_CountDaemons(const FrFront *front);
@@ -296,6 +296,10 @@
 /* Stops or resumes reading, for a caller that reads more slowly. */
 void FrUpConn_SetPaused(FrUpConn *conn, bool paused);
 
+/* Bytes that were sent, and that the upstream's host has not acknowledged; -1:
+ * not known. */
+int FrUpConn_CountUnacked(const FrUpConn *conn);
+
 /* Whether this is the first exchange on the connection. */
 bool FrUpConn_IsFirstExchange(const FrUpConn *conn);
 void FrUpConn_FreeDead(FrFront *front);
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -46,10 +46,23 @@
     FrQueue_SchedulePass(request->front, 0);
 }
 
+/* An attempt that ends before the upstream's answer does. What it has sent and
+   the upstream's host has not acknowledged may still be on its way. */
+static void
+log_abort(const FrRequest *request)
+{
+    BkLog_Event(BK_LOG_INFO, "relay", request->id, "attempt aborted",
+                "s:s, s:i, s:I, s:i", "upstream", request->up->id, "sends",
+                request->send_count, "after_ms",
+                (json_int_t)(BkClock_Now() - request->sent_at), "unacked",
+                FrUpConn_CountUnacked(request->conn));
+}
+
 void
 FrRequest_AbortAttempt(FrRequest *request)
 {
     if (request->conn != NULL) {
+        log_abort(request);
         FrUpConn_Abort(request->conn);
         request->conn = NULL;
     }
@@ -84,14 +97,15 @@
              (unsigned long long)request->digest);
     BkLog_Event(
         BK_LOG_INFO, "relay", request->id, "answered",
-        "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:I, s:I, s:I, "
+        "s:s, s:s, s:s?, s:s?, s:i, s:s, s:s, s:i, s:i, s:i, s:I, s:I, s:I, "
         "s:I, s:I, s:I, s:I, s:s?, s:I, s:s, "
         "s:s, s:s, s:s, s:s, s:b",
         "route", request->route, "service", request->service, "model",
         request->model, "adapter", request->adapter, "code", code, "why",
         request->why, "upstream", request->last_up_id, "sends",
-        request->send_count, "runs", request->run_count, "prompt",
-        (json_int_t)request->query.prompt_tokens, "sent_ms",
+        request->send_count, "arrivals", request->arrival_count, "runs",
+        request->run_count, "prompt", (json_int_t)request->query.prompt_tokens,
+        "sent_ms",
         (json_int_t)(request->send_count > 0
                          ? request->sent_at - request->started_at
                          : -1),
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -1,6 +1,8 @@
 #include <errno.h>
+#include <linux/sockios.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -601,6 +603,14 @@
     }
 }
 
+int
+FrUpConn_CountUnacked(const FrUpConn *conn)
+{
+    int bytes;
+
+    return ioctl(conn->fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
+}
+
 bool
 FrUpConn_IsFirstExchange(const FrUpConn *conn)
 {
