--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -469,6 +469,12 @@
         LIBC.connect(sock.fileno(), unspecified, len(unspecified))
 
 
+def raise_if_reset(sock):
+    """Raises an error if the other side has reset the connection."""
+    with contextlib.suppress(BlockingIOError):
+        sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+
+
 class Proxy:
     """A TCP relay; its fields and methods set faults. What is lost on the way
     is never followed by an orderly end."""
@@ -513,7 +519,9 @@
         lost = False
         try:
             while data := source.recv(65536):
-                self.flowing.wait()
+                if not self.flowing.is_set():
+                    self.flowing.wait()
+                    raise_if_reset(source)  # what was held back is lost
                 if self.delay:
                     time.sleep(self.delay)
                 lost = lost or pair["silent"] or direction in self.muted
