budget: earn tokens by requests instead of counting a window

Cause: each process counted its retries of the last window against its own requests of that window. Such counts do not add up: a process that starts has forgotten its predecessor's, callers that move bring the ratio of a window to another daemon, and the oldest slice was dropped up to half a second early (unit test_any_window fails on the old code with none of them: 537 retries for 2387 requests, 533 allowed). A token is now earned by a request, at the daemon where it comes, and lost after a fifth of the window; the slack is a bucket that is empty at the start. So every retry in a window is paid for by another request of that window or of the moment before it, whoever sends it. A retry without an answer keeps a token in reserve, since it may still arrive. The slack is not used before the members table was read.

Proofs that need the slack wait until the table was read.

--- a/src/budget/budget.c
+++ b/src/budget/budget.c
@@ -1,42 +1,82 @@
 #include "bk/budget/budget.h"
 
-/* Advances the newest slice to now, and clears the slices that this adds to
-   the window. */
+static int64_t
+get_slice(const BkBudgetConf *conf, BkMs at)
+{
+    return at * BK_BUDGET_SLICES / conf->window;
+}
+
+static void
+begin_slice(BkBudget *budget)
+{
+    budget->newest_slice++;
+    budget->earned[budget->newest_slice % BK_BUDGET_TOKEN_SLICES] = 0;
+    budget->late += budget->recent;
+    budget->recent = budget->newest;
+    budget->newest = 0;
+}
+
+/* Advances the newest slice to now. */
 static void
 advance(BkBudget *budget, const BkBudgetConf *conf, BkMs now)
 {
-    int64_t now_slice = now * BK_BUDGET_SLICES / conf->window;
+    int64_t now_slice = get_slice(conf, now);
 
     if (!budget->initialized) {
         budget->initialized = true;
         budget->newest_slice = now_slice;
+        budget->refilled_at = conf->started_at;
     }
-    for (int cleared = 0;
-         budget->newest_slice < now_slice && cleared < BK_BUDGET_SLICES;
-         cleared++) {
-        budget->newest_slice++;
-        budget->requests[budget->newest_slice % BK_BUDGET_SLICES] = 0;
-        budget->retries[budget->newest_slice % BK_BUDGET_SLICES] = 0;
+    for (int i = 0;
+         budget->newest_slice < now_slice && i < BK_BUDGET_TOKEN_SLICES; i++) {
+        begin_slice(budget);
     }
     budget->newest_slice = now_slice;
 }
 
-static double
-sum_slices(const double *slices)
+static void
+refill_bucket(BkBudget *budget, const BkBudgetConf *conf, int daemons,
+              BkMs now)
 {
-    double sum = 0;
+    double part = daemons > 0 ? conf->slack / daemons : 0;
+    double windows =
+        (double)(now - budget->refilled_at) / (double)conf->window;
 
-    for (int i = 0; i < BK_BUDGET_SLICES; i++) {
-        sum += slices[i];
+    budget->bucket += part * BK_BUDGET_REFILL_SHARE * windows;
+    if (budget->bucket > part * BK_BUDGET_BUCKET_SHARE) {
+        budget->bucket = part * BK_BUDGET_BUCKET_SHARE;
     }
-    return sum;
+    budget->refilled_at = now;
+}
+
+static void
+pay_from(double *tokens, double *debt)
+{
+    double paid = *tokens < *debt ? *tokens : *debt;
+
+    *tokens -= paid;
+    *debt -= paid;
+}
+
+/* Pays the debt, first with the tokens that are lost first. */
+static void
+pay_debt(BkBudget *budget)
+{
+    for (int i = 1; i <= BK_BUDGET_TOKEN_SLICES; i++) {
+        int64_t slice = budget->newest_slice + i;
+        pay_from(&budget->earned[slice % BK_BUDGET_TOKEN_SLICES],
+                 &budget->debt);
+    }
+    pay_from(&budget->bucket, &budget->debt);
 }
 
 void
 BkBudget_CountRequest(BkBudget *budget, const BkBudgetConf *conf, BkMs now)
 {
     advance(budget, conf, now);
-    budget->requests[budget->newest_slice % BK_BUDGET_SLICES] += 1;
+    budget->earned[budget->newest_slice % BK_BUDGET_TOKEN_SLICES] +=
+        conf->ratio * conf->usable_share;
+    pay_debt(budget);
 }
 
 BkBudgetState
@@ -44,16 +84,15 @@
                  BkMs now)
 {
     advance(budget, conf, now);
-    double windows_since_start =
-        (double)(now - conf->started_at) / (double)conf->window;
-    double slack_part = conf->slack / daemons *
-                        (windows_since_start < 1 ? windows_since_start : 1);
-    double requests = sum_slices(budget->requests);
-
-    return (BkBudgetState){.requests = requests,
-                           .retries = sum_slices(budget->retries),
-                           .limit = conf->usable_share *
-                                    (conf->ratio * requests + slack_part)};
+    refill_bucket(budget, conf, daemons, now);
+    pay_debt(budget);
+    BkBudgetState state = {.earned = -budget->debt,
+                           .bucket = budget->bucket,
+                           .late = budget->late};
+    for (int i = 0; i < BK_BUDGET_TOKEN_SLICES; i++) {
+        state.earned += budget->earned[i];
+    }
+    return state;
 }
 
 bool
@@ -62,9 +101,31 @@
 {
     BkBudgetState state = BkBudget_Inspect(budget, conf, daemons, now);
 
-    if (state.retries + 1 > state.limit) {
+    if (state.earned + state.bucket - state.late < 1) {
         return false;
     }
-    budget->retries[budget->newest_slice % BK_BUDGET_SLICES] += 1;
+    budget->debt += 1;
+    pay_debt(budget);
+    budget->newest++;
     return true;
 }
+
+void
+BkBudget_EndRetry(BkBudget *budget, const BkBudgetConf *conf, BkMs taken_at,
+                  BkMs now)
+{
+    advance(budget, conf, now);
+    int64_t age = budget->newest_slice - get_slice(conf, taken_at);
+
+    if (age == 0) {
+        budget->newest--;
+    }
+    else if (age == 1) {
+        budget->recent--;
+    }
+    else {
+        budget->late--;
+        budget->debt += 1;
+        pay_debt(budget);
+    }
+}
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -67,7 +67,7 @@
 int
 FrFront_CountDaemons(const FrFront *front)
 {
-    return FrPeers_Count(front->peers);
+    return FrPeers_AreListed(front->peers) ? FrPeers_Count(front->peers) : 0;
 }
 
 static BkBudgetConf
@@ -89,21 +89,34 @@
 }
 
 bool
-FrFront_TakeRetry(FrFront *front, const FrRequest *request, BkMs now)
+FrFront_TakeRetry(FrFront *front, FrRequest *request, BkMs now)
 {
     BkBudgetConf conf = make_budget_conf(front);
     BkBudget *budget = find_or_add_budget(front, request->query.service);
     int daemons = FrFront_CountDaemons(front);
     BkBudgetState state = BkBudget_Inspect(budget, &conf, daemons, now);
-    bool granted = BkBudget_TakeRetry(budget, &conf, daemons, now);
 
-    BkLog_Event(granted ? BK_LOG_INFO : BK_LOG_DEBUG, "budget", request->id,
-                "retry", "s:s, s:b, s:i, s:f, s:f, s:f, s:i, s:I", "service",
-                request->service, "granted", granted, "arrivals",
-                request->arrival_count, "requests", state.requests, "retries",
-                state.retries, "limit", state.limit, "daemons", daemons,
+    request->retry_open = BkBudget_TakeRetry(budget, &conf, daemons, now);
+    request->retry_taken_at = now;
+    BkLog_Event(request->retry_open ? BK_LOG_INFO : BK_LOG_DEBUG, "budget",
+                request->id, "retry", "s:s, s:b, s:i, s:f, s:f, s:i, s:i, s:I",
+                "service", request->service, "granted", request->retry_open,
+                "arrivals", request->arrival_count, "earned", state.earned,
+                "bucket", state.bucket, "late", state.late, "daemons", daemons,
                 "up_ms", (json_int_t)(now - front->started_at));
-    return granted;
+    return request->retry_open;
+}
+
+void
+FrFront_EndRetry(FrFront *front, FrRequest *request, BkMs now)
+{
+    BkBudgetConf conf = make_budget_conf(front);
+
+    if (request->retry_open) {
+        request->retry_open = false;
+        BkBudget_EndRetry(find_or_add_budget(front, request->query.service),
+                          &conf, request->retry_taken_at, now);
+    }
 }
 
 bool
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -190,9 +190,14 @@
 
 /* Counts a retry of the request if the retry budget of its service allows it,
  * else returns false. */
-bool FrFront_TakeRetry(FrFront *front, const FrRequest *request, BkMs now);
+bool FrFront_TakeRetry(FrFront *front, FrRequest *request, BkMs now);
 
-/* Number of daemons that may share the retry budget, including this one. */
+/* The attempt that is the retry was answered, or ended; does nothing if the
+ * attempt is none. */
+void FrFront_EndRetry(FrFront *front, FrRequest *request, BkMs now);
+
+/* Number of daemons that may share the retry budget, including this one; 0 if
+ * this one does not know them all yet. */
 int FrFront_CountDaemons(const FrFront *front);
 
 /* caller.c: one connection of a caller */
@@ -385,6 +390,10 @@
     bool prompt_counted; /* the prompt is counted as unprocessed there */
     int send_count;      /* attempts */
     int arrival_count;   /* of these, may have arrived at an upstream */
+    /* the current attempt is a retry without an answer: when its token was
+       taken from the budget */
+    bool retry_open;
+    BkMs retry_taken_at;
     /* keys of the daemons by way of which it was sent */
     uint32_t detours[FR_MAX_DETOURS];
     int detour_count;
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -67,6 +67,11 @@
             FrPeers_Add(peers, row->key, address, domain);
         }
     }
+    if (!peers->listed) {
+        peers->listed = true;
+        BkLog_Event(BK_LOG_INFO, "peers", NULL, "members listed", "s:i",
+                    "daemons", FrPeers_Count(peers));
+    }
     peers->next_call_at =
         BkClock_Now() + choose_interval(peers, peers->count - known);
     FrSync_AllowReader(peers->front->sync, BkClock_Now());
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -210,6 +210,12 @@
     return count;
 }
 
+bool
+FrPeers_AreListed(const FrPeers *peers)
+{
+    return peers->listed;
+}
+
 int
 FrPeers_Count(const FrPeers *peers)
 {
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -68,6 +68,7 @@
     bool row_written;  /* this daemon's own row */
     bool call_active;
     BkMs read_interval; /* between reads, while peers are missing */
+    bool listed;        /* the table was read */
     /* The planner, if it is another daemon: */
     char planner_name[BKP_MAX_NAME + 1]; /* "": none is known */
     uint64_t term; /* newest known, also of this daemon */
@@ -122,6 +123,10 @@
  * order that is the same for all daemons. */
 int FrPeers_CountReaderCandidates(const FrPeers *peers, BkMs now);
 
+/* Whether the members table was read since the start, so that all daemons are
+ * known that ran then. */
+bool FrPeers_AreListed(const FrPeers *peers);
+
 /* Known daemons, this one included. */
 int FrPeers_Count(const FrPeers *peers);
 
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -66,6 +66,7 @@
         FrUpConn_Abort(request->conn);
         request->conn = NULL;
     }
+    FrFront_EndRetry(request->front, request, BkClock_Now());
     release_upstream(request);
 }
 
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -199,6 +199,7 @@
         BkCounter_Add(request->front->metrics.stray_responses, 1);
         return FR_HEAD_SKIP;
     }
+    FrFront_EndRetry(request->front, request, BkClock_Now());
     request->last_up_code = head->http_status;
     request->framing = head->chunked       ? FR_FRAMING_CHUNKS
                        : head->until_close ? FR_FRAMING_CLOSE
--- a/tests/proof/case_front.py
+++ b/tests/proof/case_front.py
@@ -16,7 +16,7 @@
                          route("flow", "streaming", maxAttempts=1),
                          route("again", "streaming", resumable=True)])
     upstreams = [Replica(store, "i-%d" % n, **keys) for n in range(count)]
-    front = Front(world, store).await_ready()
+    front = Front(world, store).await_retry_budget()
     return store, upstreams, front
 
 
--- a/tests/proof/case_front_signals.py
+++ b/tests/proof/case_front_signals.py
@@ -101,6 +101,7 @@
     """An engine that refuses a request with the word that it leaves gets no
     more, and another one serves the request."""
     _, upstreams, (front,) = engines(world, [{"m1": set()}, {"m1": set()}])
+    front.await_retry_budget()
     upstreams[0].handlers = [lambda req, sock: sock.sendall(
         not_run(req).replace(b"Content-Length",
                              b"Server-Leaving: 1\r\nContent-Length"))]
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -594,9 +594,16 @@
         return False
 
     def await_ready(self):
-        """Waits until it is ready and its retry budget is full."""
         wait(self.name + " ready", self.ready)
-        time.sleep(BOUNDS["budgetWindowS"])
+        return self
+
+    def await_retry_budget(self):
+        """Waits until it knows how many share the slack, and its part of it
+        is full."""
+        self.await_ready()
+        wait(self.name + " knows the others",
+             lambda: self.events("members listed"))
+        time.sleep(2 * BOUNDS["budgetWindowS"])
         return self
 
     def events(self, name):
