detour: count an arrival although the other daemon hands the request back

A daemon that relayed a request and lost its links before it ran handed it back as never arrived, though an upstream there may have refused it: the first daemon sent it on without a token of the retry budget, up to four times. It says so now ("arrived"); a daemon of an older version takes that for the final refusal, which is true. budget_relayed_and_handed_back failed before (2 arrivals without any budget) and passes.

--- a/src/front/detour.c
+++ b/src/front/detour.c
@@ -18,6 +18,7 @@
 static const char field_name[] = "Bk-Detour";
 static const char elsewhere[] = "elsewhere";
 static const char full[] = "full";
+static const char arrived[] = "arrived";
 static const char links_lost_too[] = "it has lost its links too";
 
 /* The daemon as a target of requests; it is made anew when its address
@@ -196,7 +197,8 @@
         return false;
     }
     log_refusal(request->id, links_lost_too);
-    conn->refusal = FR_REFUSED_ELSEWHERE;
+    conn->refusal = request->arrival_count > 0 ? FR_REFUSED_AFTER_ARRIVAL
+                                               : FR_REFUSED_ELSEWHERE;
     FrRequest_ReplyError(request, 503, links_lost_too, RETRY_AFTER);
     return true;
 }
@@ -225,25 +227,51 @@
     return true;
 }
 
+static const char *
+get_word(FrRefusal refusal)
+{
+    switch (refusal) {
+    case FR_REFUSED_ELSEWHERE:
+        return elsewhere;
+    case FR_REFUSED_FULL:
+        return full;
+    case FR_REFUSED_AFTER_ARRIVAL:
+        return arrived;
+    case FR_NOT_REFUSED:
+        break;
+    }
+    return NULL;
+}
+
+static FrRefusal
+read_refusal(BkStr text)
+{
+    static const FrRefusal refusals[] = {FR_REFUSED_ELSEWHERE, FR_REFUSED_FULL,
+                                         FR_REFUSED_AFTER_ARRIVAL};
+
+    for (size_t i = 0; i < sizeof(refusals) / sizeof(refusals[0]); i++) {
+        if (BkStr_Equal(text, BkStr_FromC(get_word(refusals[i])))) {
+            return refusals[i];
+        }
+    }
+    return FR_NOT_REFUSED;
+}
+
 FrDetourReply
 FrDetour_ReadReply(const BkH1Head *head)
 {
     BkStr text = BkH1Head_Find(head, field_name);
 
-    return (FrDetourReply){
-        .refusal = BkStr_Equal(text, BkStr_FromC(elsewhere))
-                       ? FR_REFUSED_ELSEWHERE
-                   : BkStr_Equal(text, BkStr_FromC(full)) ? FR_REFUSED_FULL
-                                                          : FR_NOT_REFUSED,
-        .software = (uint32_t)read_number(text, "software")};
+    return (FrDetourReply){.refusal = read_refusal(text),
+                           .software =
+                               (uint32_t)read_number(text, "software")};
 }
 
 void
 FrDetour_PutRefusal(FrRefusal refusal, BkBuf *out)
 {
     if (refusal != FR_NOT_REFUSED) {
-        BkBuf_Printf(out, "%s: %s\r\n", field_name,
-                     refusal == FR_REFUSED_FULL ? full : elsewhere);
+        BkBuf_Printf(out, "%s: %s\r\n", field_name, get_word(refusal));
     }
 }
 
--- a/src/front/detour.h
+++ b/src/front/detour.h
@@ -12,7 +12,9 @@
  * configuration, how many daemons have refused it, and the software version
  * that its stream is bound to. In a response it has the software version of the
  * upstream, or a word: the request was not run, and another daemon may serve it
- * ("elsewhere"), or this one too if no other does ("full").
+ * ("elsewhere", or "arrived" if an upstream has refused it), or this one too if
+ * no other does ("full"). A daemon that does not know a word takes the response
+ * for the final one.
  */
 #ifndef BK_FRONT_DETOUR_H
 #define BK_FRONT_DETOUR_H
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -99,7 +99,9 @@
 typedef enum FrRefusal {
     FR_NOT_REFUSED,
     FR_REFUSED_ELSEWHERE, /* it cannot serve it, but another one may */
-    FR_REFUSED_FULL       /* it serves it only if no other one does */
+    FR_REFUSED_FULL,      /* it serves it only if no other one does */
+    /* like elsewhere, but an upstream has refused the request */
+    FR_REFUSED_AFTER_ARRIVAL
 } FrRefusal;
 
 typedef struct FrListener {
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -145,11 +145,11 @@
     FrDetourReply reply = FrDetour_ReadReply(head);
     bool not_run = promises_not_run(head->http_status);
 
-    if (not_run) {
-        request->arrival_count--;
-    }
     if (reply.refusal != FR_NOT_REFUSED) {
-        if (reply.refusal == FR_REFUSED_ELSEWHERE) {
+        if (reply.refusal != FR_REFUSED_AFTER_ARRIVAL) {
+            request->arrival_count--;
+        }
+        if (reply.refusal != FR_REFUSED_FULL) {
             FrDetour_NoteRefusal(request->up, BkClock_Now());
         }
         release_connection(request);
