response: believe a refusal only if it can't be a copy of an earlier one

What callers could see (REFUSED, TWICE), shown by proofs that failed first: a faulty upstream writes an earlier refusal once more on a kept connection. Without an id it was taken for the refusal of the next request there (503 for a stream that was running); with the id of a request that was sent there again it was taken for a new one, and the request ran three times.

A response without an id now counts only on a connection that has carried no other exchange, and ends it; later it ends the attempt as one that may have run. A request is not sent again on a kept connection to an upstream that has refused it. A copy that names another request was skipped already (refusal_again_with_its_id).

--- a/src/front/front.h
+++ b/src/front/front.h
@@ -47,7 +47,8 @@
     FR_SOFTWARE_BYTES = 32,    /* of a software version in the log */
     FR_MAX_SERVICES = 64,      /* services with a separate retry budget */
     FR_MAX_QUEUE_PACES = 4096, /* services and models with a known pace */
-    FR_MAX_DETOURS = 4 /* daemons by way of which one request is sent */
+    FR_MAX_DETOURS = 4,   /* daemons by way of which one request is sent */
+    FR_MAX_REFUSED_BY = 8 /* upstreams that are remembered as refusing one */
 };
 
 /* How fast the requests for a service and model leave the queue. */
@@ -285,7 +286,8 @@
     FR_EXCHANGE_TRUNCATED /* connection lost, or malformed data, in the body */
 } FrExchangeResult;
 
-/* Sends a request on an idle connection to the upstream, or else on a new one.
+/* Sends a request on an idle connection to the upstream, or on a new one if
+ * there is none or the upstream has refused this request before.
  * The response and the end of the exchange are reported by the callbacks in
  * "responses" below, never before this returns. bodiless: a HEAD request. NULL
  * if no connection can be opened. */
@@ -307,6 +309,9 @@
  * not known. */
 int FrUpConn_CountUnacked(const FrUpConn *conn);
 
+/* Closes the connection after the current response. */
+void FrUpConn_CloseAfter(FrUpConn *conn);
+
 /* Whether this is the first exchange on the connection. */
 bool FrUpConn_IsFirstExchange(const FrUpConn *conn);
 void FrUpConn_FreeDead(FrFront *front);
@@ -400,6 +405,9 @@
     uint32_t detours[FR_MAX_DETOURS];
     int detour_count;
     bool last_detour; /* no further daemon is left */
+    /* keys of the upstreams that refused it last, in a ring */
+    uint32_t refused_by[FR_MAX_REFUSED_BY];
+    int refusal_count;
     int run_count;    /* failed attempts that may have run */
     int last_up_code; /* status of the last response from an upstream */
 
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -47,6 +47,15 @@
     request->conn = NULL;
 }
 
+/* A second copy of the refusal may come where the response to the request is
+   expected, if it is sent there again on the same connection. */
+static void
+note_refusing(FrRequest *request, const BkUp *up)
+{
+    request->refused_by[request->refusal_count % FR_MAX_REFUSED_BY] = up->key;
+    request->refusal_count++;
+}
+
 static FrHeadAction
 handle_refusal(FrRequest *request, const BkH1Head *head,
                const BkResponseFields *fields)
@@ -78,6 +87,7 @@
         FrAdmission_NoteRefusal(request->front->admission, up, now);
     }
     request->last_up_code = head->http_status;
+    note_refusing(request, up);
     release_connection(request);
     FrRequest_FailAttempt(request, false,
                           !wrong_process && head->http_status == 503,
@@ -200,6 +210,13 @@
         return FR_HEAD_SKIP;
     }
     FrFront_EndRetry(request->front, request, BkClock_Now());
+    if (fields.request_id.len == 0 && !request->up->is_daemon) {
+        FrUpConn_CloseAfter(request->conn);
+        if (!FrUpConn_IsFirstExchange(request->conn)) {
+            /* perhaps a second copy of the response to an earlier request */
+            return fail_possible_run(request, "the answer names no request");
+        }
+    }
     request->last_up_code = head->http_status;
     request->framing = head->chunked       ? FR_FRAMING_CHUNKS
                        : head->until_close ? FR_FRAMING_CLOSE
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -563,12 +563,24 @@
     return open_conn(front, up) != NULL;
 }
 
+static bool
+has_refused(const BkUp *up, const FrRequest *request)
+{
+    for (int i = 0; i < request->refusal_count && i < FR_MAX_REFUSED_BY; i++) {
+        if (request->refused_by[i] == up->key) {
+            return true;
+        }
+    }
+    /* of more refusals, the earlier ones are not known any more */
+    return request->refusal_count > FR_MAX_REFUSED_BY;
+}
+
 FrUpConn *
 FrUpConn_Send(FrFront *front, BkUp *up, FrRequest *request, BkStr head,
               BkStr body, bool bodiless)
 {
     ensure_pool(up);
-    FrUpConn *conn = reuse_idle(up);
+    FrUpConn *conn = has_refused(up, request) ? NULL : reuse_idle(up);
     if (conn == NULL) {
         conn = open_conn(front, up);
     }
@@ -624,6 +636,12 @@
     return ioctl(conn->fd, SIOCOUTQ, &bytes) == 0 ? bytes : -1;
 }
 
+void
+FrUpConn_CloseAfter(FrUpConn *conn)
+{
+    conn->close_after = true;
+}
+
 bool
 FrUpConn_IsFirstExchange(const FrUpConn *conn)
 {
