quarantine: count no crash while all daemons have lost their links

Cause: if all daemons had lost their links, a crash was reported at once, on the belief that all processes had ended. A connection that is reset only when it is used next breaks off later, so that one loss of links gave crashes at different moments, which count as separate ones. Such a break now waits until the links are back and reports are up to date, and counts only if the process is gone by then.

--- a/src/front/breaks.c
+++ b/src/front/breaks.c
@@ -19,12 +19,21 @@
     /* ms in which another upstream must accept a connection: else this
        daemon's links may have failed, and not the process */
     CONFIRM_TIME = 600,
-    CONFIRM_INTERVAL = 150 /* ms; each time, further ones are tried */
+    CONFIRM_INTERVAL = 150, /* ms; each time, further ones are tried */
+    /* ms until a break at which no daemon had links is given up */
+    LINKS_TIMEOUT = 15000,
+    /* ms after the links are back, in which the report of a process that has
+       ended is removed, or replaced by that of a new one */
+    REPORT_LAG = 2500
 };
 
 typedef enum BreakState {
     BREAK_CONNECTING, /* finding out whether the process has ended */
     BREAK_ENDED,      /* it has; further suspects may come */
+    /* no daemon can connect to any upstream of the service: the links may have
+       failed, or all processes ended */
+    BREAK_ALL_LOST,
+    BREAK_LINKS_BACK, /* after that: waiting for reports */
     BREAK_ALIVE       /* the process lives: only connections broke */
 } BreakState;
 
@@ -122,8 +131,17 @@
     BkTimer_Start(broken->timer, COLLECT_TIME);
 }
 
-/* Reports the crash once this daemon's links are known to work. Returns false if
-   that is still to be found out. */
+static void
+log_not_reported(const FrBreak *broken, const char *why)
+{
+    BkLog_Event(BK_LOG_INFO, "quarantine", NULL, "crash not reported",
+                "s:s, s:i, s:s, s:I", "upstream", broken->up->id, "suspects",
+                broken->count, "why", why, "age_ms",
+                (json_int_t)(BkClock_Now() - broken->at));
+}
+
+/* Reports the crash once this daemon's links are known to work. Returns whether
+   the break is settled; if not, the timer has been started. */
 static bool
 report_if_links_work(FrBreak *broken)
 {
@@ -134,36 +152,74 @@
         return true;
     }
     if (BkClock_Now() - broken->at < CONFIRM_TIME) {
+        BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
         return false;
     }
-    BkLog_Event(BK_LOG_INFO, "quarantine", NULL, "crash not reported",
-                "s:s, s:i, s:s", "upstream", broken->up->id, "suspects",
-                broken->count, "why",
-                "no other upstream can be connected to either");
-    return true;
+    if (!FrLinks_HaveAllLost(links, broken->up->service_key)) {
+        log_not_reported(broken, "no other upstream can be connected to");
+        return true;
+    }
+    broken->state = BREAK_ALL_LOST;
+    BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
+    return false;
+}
+
+static bool
+wait_for_links(FrBreak *broken)
+{
+    FrLinks *links = broken->quarantine->front->links;
+
+    if (FrLinks_WorkedSince(links, broken->up, broken->at)) {
+        broken->state = BREAK_LINKS_BACK;
+        BkTimer_Start(broken->timer, REPORT_LAG);
+        return false;
+    }
+    if (BkClock_Now() - broken->at >= LINKS_TIMEOUT) {
+        log_not_reported(broken, "no daemon has links");
+        return true;
+    }
+    BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
+    return false;
+}
+
+/* The links are back: a process that ended is not reported as before. */
+static void
+report_if_gone(FrBreak *broken)
+{
+    if (BkUp_IsOpen(broken->up)) {
+        log_not_reported(broken, "all daemons had lost their links");
+        return;
+    }
+    report(broken);
 }
 
 static void
 on_timer(void *arg)
 {
     FrBreak *broken = arg;
+    bool settled = true;
 
     switch (broken->state) {
     case BREAK_CONNECTING:
         set_ended(broken);
         return;
     case BREAK_ENDED:
-        if (!report_if_links_work(broken)) {
-            BkTimer_Start(broken->timer, CONFIRM_INTERVAL);
-            return;
-        }
+        settled = report_if_links_work(broken);
+        break;
+    case BREAK_ALL_LOST:
+        settled = wait_for_links(broken);
+        break;
+    case BREAK_LINKS_BACK:
+        report_if_gone(broken);
         break;
     case BREAK_ALIVE:
         BkLog_Event(BK_LOG_DEBUG, "quarantine", NULL, "upstream did not crash",
                     "s:s", "upstream", broken->up->id);
         break;
     }
-    remove_break(broken);
+    if (settled) {
+        remove_break(broken);
+    }
 }
 
 static FrBreak *
--- a/src/front/links.c
+++ b/src/front/links.c
@@ -193,9 +193,8 @@
     }
 }
 
-/* Whether all other daemons have told that they lost the links too. */
-static bool
-have_all_lost(const FrLinks *links, uint32_t service)
+bool
+FrLinks_HaveAllLost(const FrLinks *links, uint32_t service)
 {
     const FrPeers *peers = links->front->peers;
     BkMs now = BkClock_Now();
@@ -210,14 +209,21 @@
     return true;
 }
 
+bool
+FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at)
+{
+    const Row *row = find_row((FrLinks *)links, up->service_key);
+
+    return row != NULL && row->reach.worked_at >= at;
+}
+
 bool
 FrLinks_CheckSince(FrLinks *links, const BkUp *up, BkMs at)
 {
     FrFront *front = links->front;
-    const Row *row = find_row(links, up->service_key);
     BkUp *others[BK_REACH_PROBES];
 
-    if (row != NULL && row->reach.worked_at >= at) {
+    if (FrLinks_WorkedSince(links, up, at)) {
         return true;
     }
     int count = BkReach_ChooseOthers(&front->fleet, up, &front->rng, others,
@@ -227,7 +233,7 @@
             BkCounter_Add(links->probes, 1);
         }
     }
-    return count == 0 || have_all_lost(links, up->service_key);
+    return count == 0;
 }
 
 bool
--- a/src/front/links.h
+++ b/src/front/links.h
@@ -31,11 +31,18 @@
 bool FrLinks_HasPeerLost(const FrPeer *peer, uint32_t service, BkMs now);
 
 /* Whether an upstream of the same service accepted a connection that was begun
- * at that time or later, so that what has failed was not this daemon's links;
- * also true if this is the only one that is open, or all daemons have lost the
- * links. Tries other upstreams if none did. */
+ * at that time or later, so that what has failed was not this daemon's
+ * links. */
+bool FrLinks_WorkedSince(const FrLinks *links, const BkUp *up, BkMs at);
+
+/* The same, and also true if this upstream is the only one that is open. Tries
+ * other upstreams if none has accepted one. */
 bool FrLinks_CheckSince(FrLinks *links, const BkUp *up, BkMs at);
 
+/* Whether all other daemons have told that they lost the links to the service
+ * too. */
+bool FrLinks_HaveAllLost(const FrLinks *links, uint32_t service);
+
 /* Whether no upstream of the service can be connected to, although the store
  * lists some. */
 bool FrLinks_AreLost(const FrLinks *links, uint32_t service);
--- a/tests/proof/links.py
+++ b/tests/proof/links.py
@@ -43,6 +43,10 @@
                 for pair in self.pairs:
                     pair["silent"] = True
             self.drop_new_connections()
+        elif how == "use":
+            with self.lock:
+                for pair in self.pairs:
+                    pair["reset_on_use"] = True
         elif how == "reset":
             self.reset()
 
@@ -92,7 +96,8 @@
 
     def cut(self, how):
         """how: "hang": nothing is delivered, and new connections get no
-        answer; "reset": open connections are reset, and new ones refused;
+        answer; "reset": open connections are reset, and new ones refused; "use":
+        the same, but each one is reset when something is sent on it;
         "live": open connections go on, and new ones are refused."""
         for link in self.links.values():
             link.close_listener()
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -524,6 +524,8 @@
                     raise_if_reset(source)  # what was held back is lost
                 if self.delay:
                     time.sleep(self.delay)
+                if pair.get("reset_on_use"):
+                    raise ConnectionResetError
                 lost = lost or pair["silent"] or direction in self.muted
                 if lost:
                     continue
