planner: count a load from when it may begin, not from its first order

An order to load that gets no answer is sent again, up to five times; the rate counted it at its first send, though it began with the last one, up to 2.3 s later. An order without an answer now counts as a load that begins now, also for the next planner, and is dated when it is answered or given up.

state_loads_after_lost_orders failed before (8 loads in a window, 5.2 allowed) and passes. A load that begins after the last of the five sends (up to 12 s late) is still dated too early.

--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -55,6 +55,14 @@
     return NULL;
 }
 
+bool
+FrEngine_HasPendingWeightLoad(const FrEngine *engine)
+{
+    return (engine->order_in_flight || engine->order_unconfirmed) &&
+           engine->order.kind == BK_ORDER_LOAD &&
+           engine->order.from_weight_store;
+}
+
 /* HTTP calls in flight refer to the engine; free_if_removed then frees it when
    the last of them ends. */
 static void
@@ -62,6 +70,9 @@
 {
     FrEngine *engine = planner->engines[index];
 
+    if (FrEngine_HasPendingWeightLoad(engine)) {
+        FrPlanner_RecordWeightLoad(planner, BkClock_Now());
+    }
     planner->engines[index] = planner->engines[--planner->engine_count];
     engine->planner = NULL;
     BkTimer_Destroy(engine->slot_timer);
@@ -424,11 +435,37 @@
     }
 }
 
+/* Whether a load may have begun: by this order, or by an earlier send of it
+   that got no answer. */
+static bool
+may_have_begun(const FrOrder *order, BkOrderResult result)
+{
+    switch (result) {
+    case BK_ORDER_ACCEPTED:
+        return true;
+    case BK_ORDER_ALREADY_DONE:
+    case BK_ORDER_BUSY:
+    case BK_ORDER_FENCED:
+    case BK_ORDER_INVALID:
+    case BK_ORDER_WRONG_PROCESS:
+        return order->tries > 1;
+    case BK_ORDER_UNKNOWN:
+        /* until the last try, it stays pending */
+        return order->tries >= MAX_TRIES;
+    }
+    return true;
+}
+
 static void
 handle_order_result(FrEngine *engine, BkOrderResult result, BkMs now)
 {
     const FrOrder order = engine->order;
 
+    if (order.kind == BK_ORDER_LOAD && order.from_weight_store &&
+        may_have_begun(&order, result)) {
+        FrPlanner_RecordWeightLoad(engine->planner, now);
+    }
+
     engine->order_unconfirmed = false;
     switch (result) {
     case BK_ORDER_ACCEPTED:
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -62,14 +62,26 @@
                                 may_plan_without_store(planner, now));
 }
 
-static void
-record_weight_load(FrPlanner *planner, BkMs now)
+void
+FrPlanner_RecordWeightLoad(FrPlanner *planner, BkMs at)
 {
     if (planner->weight_load_count < FR_MAX_WEIGHT_LOADS) {
-        planner->weight_load_times[planner->weight_load_count++] = now;
+        planner->weight_load_times[planner->weight_load_count++] = at;
     }
 }
 
+/* Loads from the weight store that were ordered, and may begin at any time. */
+static int
+count_pending_loads(const FrPlanner *planner)
+{
+    int count = 0;
+
+    for (int i = 0; i < planner->engine_count; i++) {
+        count += FrEngine_HasPendingWeightLoad(planner->engines[i]) ? 1 : 0;
+    }
+    return count;
+}
+
 bool
 FrPlanner_FillBeat(FrPlanner *planner, bkp_planner_beat *beat,
                    u_int *weight_load_ages, BkMs now)
@@ -88,6 +100,10 @@
             weight_load_ages[n++] = (u_int)age;
         }
     }
+    int pending = count_pending_loads(planner);
+    for (int i = 0; i < pending && n < BKP_MAX_WEIGHT_LOADS; i++) {
+        weight_load_ages[n++] = 0;
+    }
     beat->recent_weight_load_ages.recent_weight_load_ages_len = n;
     beat->recent_weight_load_ages.recent_weight_load_ages_val =
         weight_load_ages;
@@ -107,7 +123,7 @@
     planner->weight_load_count = 0;
     for (u_int i = 0;
          i < beat->recent_weight_load_ages.recent_weight_load_ages_len; i++) {
-        record_weight_load(
+        FrPlanner_RecordWeightLoad(
             planner,
             now -
                 beat->recent_weight_load_ages.recent_weight_load_ages_val[i]);
@@ -290,7 +306,7 @@
     int allowed = (int)rate_budget + LOAD_BURST;
     /* further loads could not be counted */
     return (allowed < FR_MAX_WEIGHT_LOADS ? allowed : FR_MAX_WEIGHT_LOADS) -
-           recent;
+           recent - count_pending_loads(planner);
 }
 
 static void
@@ -315,9 +331,6 @@
             UNLOAD_TIME +
                 site_engine->models[move->next_model].weight_store_load_time);
     }
-    if (move->from_weight_store) {
-        record_weight_load(planner, now);
-    }
     BkWork work = FrDemand_GetWork(planner, model->key);
     BkLog_Event(BK_LOG_INFO, "planner", NULL, "move",
                 "s:s, s:s, s:s, s:s, s:f, s:i, s:b", "upstream",
@@ -363,12 +376,13 @@
                              count_allowed_loads(planner, site_engine, now)};
     int move_count =
         BkPlan_Decide(&bk_plan_defaults, &input, moves, BK_PLAN_MAX_MOVES);
-    int loads_before = planner->weight_load_count;
+    bool loads_weights = false;
     for (int i = 0; i < move_count; i++) {
+        loads_weights = loads_weights || moves[i].from_weight_store;
         execute_move(planner, service_engines[moves[i].engine], site_engine,
                      &moves[i], now);
     }
-    if (planner->weight_load_count > loads_before) {
+    if (loads_weights) {
         /* a successor must count them, should this daemon die before the next
            regular beat */
         FrGossip_SendPlannerBeat(planner->front->peers, now);
@@ -407,7 +421,8 @@
 
     if (planner->weight_loads_heard_at != BK_MS_NEVER) {
         for (int i = 0; i < UNSEEN_LOADS; i++) {
-            record_weight_load(planner, planner->weight_loads_heard_at);
+            FrPlanner_RecordWeightLoad(planner,
+                                       planner->weight_loads_heard_at);
         }
         return;
     }
@@ -417,7 +432,7 @@
                           ? 0
                           : count_allowed_loads(planner, site_engine, now);
         for (int k = 0; k < allowed; k++) {
-            record_weight_load(planner, now);
+            FrPlanner_RecordWeightLoad(planner, now);
         }
     }
 }
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -149,8 +149,9 @@
     int model_work_cap;
     BkMs work_updated_at;
     BkMs last_plan_at;
-    /* start times of recent loads from the weight store, also of those that
-       an earlier planner listed in its messages */
+    /* when recent loads from the weight store began at the latest, also of
+       those that an earlier planner listed in its messages; without those that
+       FrEngine_HasPendingWeightLoad tells of */
     BkMs weight_load_times[FR_MAX_WEIGHT_LOADS];
     int weight_load_count;
     /* when weight_load_times was last received from another planner;
@@ -174,6 +175,9 @@
 /* Releases the lease because this daemon is stopping. */
 void FrPlanner_Stop(FrPlanner *planner);
 
+/* A load from the weight store may have begun at that time. */
+void FrPlanner_RecordWeightLoad(FrPlanner *planner, BkMs at);
+
 /* Sets the planner's fields of a message to all daemons. The message points
  * into weight_load_ages, which has room for BKP_MAX_WEIGHT_LOADS ages. Returns
  * false if this daemon is not the planner. */
@@ -271,6 +275,10 @@
 bool FrEngine_IsIdle(const FrEngine *engine);
 void FrEngine_SendOrder(FrEngine *engine, const FrOrder *order, BkMs now);
 
+/* Whether a load from the weight store was ordered there without an answer, so
+ * that it may begin at any time. */
+bool FrEngine_HasPendingWeightLoad(const FrEngine *engine);
+
 /* The engine's part of the configuration; NULL if its service is gone from
  * it. */
 const BkSiteEngine *FrEngine_FindSiteEngine(const FrEngine *engine);
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -303,13 +303,53 @@
     wait("loads of the next planner",
          lambda: len(model_loads(upstreams)) > before)
     time.sleep(5)
+    check_load_rate(upstreams, 0.4)
+
+
+def check_load_rate(upstreams, rate):
     loads = model_loads(upstreams)
-    allowed = 0.4 * BOUNDS["ceilingWindowS"] * BOUNDS["ceilingOvershoot"] + 3
+    allowed = rate * BOUNDS["ceilingWindowS"] * BOUNDS["ceilingOvershoot"] + 3
     most = max(sum(1 for y in loads
                    if x <= y < x + BOUNDS["ceilingWindowS"]) for x in loads)
     check(most <= allowed, "%d loads in a window, allowed %.1f", most, allowed)
 
 
+@case
+def state_loads_after_lost_orders(world):
+    """Orders to load get no answer and are sent again, until the engines carry
+    them out: a load counts from when it may begin, and not from when it was
+    first ordered."""
+    names = ["n%d" % n for n in range(14)]
+    model = ENGINE["models"][0]
+    store = Store()
+    configure(store, 1, [route("llm", "streaming", service="llm")], ("llm",),
+              {**ENGINE, "loadsPerS": 0.4,
+               "models": [{**model, "name": name} for name in names]})
+    upstreams = [Replica(store, "e-%d" % n, "llm", models={})
+                 for n in range(14)]
+    for upstream in upstreams:
+        upstream.orders_to_lose = 4
+    front = Front(world, store, "front-0").await_ready()
+    wait("a planner", lambda: terms([front]))
+    end = time.monotonic() + 12
+
+    def press(name):
+        while time.monotonic() < end:
+            ask(front, name, X_Deadline_Ms="2000")
+            time.sleep(0.1)
+    threads = [threading.Thread(target=press, args=(name,)) for name in names]
+    for thread in threads:
+        thread.start()
+    wait("a load", lambda: model_loads(upstreams))
+    for upstream in upstreams:
+        upstream.orders_to_lose = 0
+    for thread in threads:
+        thread.join()
+    check(len(model_loads(upstreams)) > 5, "%d loads in all",
+          len(model_loads(upstreams)))
+    check_load_rate(upstreams, 0.4)
+
+
 @case
 def state_frozen_planner(world):
     """A planner that was frozen beyond its lease sends no order once it runs
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -230,6 +230,7 @@
         self.handlers = [handler]
         self.runs, self.orders, self.closed = [], [], []
         self.order_count, self.fence, self.answers_to_lose = 0, 0, 0
+        self.orders_to_lose = 0  # neither carried out nor answered
         # seconds: how long an order takes, the age of reports, how long a
         # report takes
         self.order_time, self.report_lag, self.report_time = 0, 0, 0
@@ -368,6 +369,12 @@
         self.report()  # its result is not needed
 
     def order(self, connection, order):
+        with self.lock:
+            lost = self.orders_to_lose > 0
+            self.orders_to_lose -= lost
+        if lost:
+            time.sleep(1)  # longer than the planner waits
+            return False
         with self.lock:
             order["at"] = time.monotonic()
             if order["fencingToken"] < self.fence:
@@ -640,8 +647,11 @@
 
     def __init__(self, front, source=""):
         host, port = front.addr.split(":")
-        self.sock = socket.create_connection((host, int(port)), timeout=60,
-                                             source_address=(source, 0))
+        # without an address the kernel chooses the port when it connects, so
+        # that ports which wait after another connection can be used
+        self.sock = socket.create_connection(
+            (host, int(port)), timeout=60,
+            source_address=(source, 0) if source else None)
         self.buffer = b""
 
     def send(self, data):
