--- a/src/front/response.c
+++ b/src/front/response.c
@@ -56,17 +56,24 @@
     request->refusal_count++;
 }
 
+static bool
+names_other_process(const BkUp *up, const BkResponseFields *fields)
+{
+    return fields->upstream_id.len > 0 &&
+           !BkStr_Equal(fields->upstream_id, BkStr_FromC(up->id));
+}
+
 static FrHeadAction
 handle_refusal(FrRequest *request, const BkH1Head *head,
                const BkResponseFields *fields)
 {
     BkUp *up = request->up;
     BkMs now = BkClock_Now();
-    bool wrong_process =
-        fields->upstream_id.len > 0 &&
-        !BkStr_Equal(fields->upstream_id, BkStr_FromC(up->id));
+    bool wrong_process = names_other_process(up, fields);
 
     if (wrong_process) {
+        /* nothing else is to be sent there, nor a copy of this to be read */
+        FrUpConn_CloseAfter(request->conn);
         BkFleet_MarkGone(&request->front->fleet, up, now);
     }
     else if (BkAdapter_IsMisdirected(head->http_status) &&
@@ -210,7 +217,8 @@
         return FR_HEAD_SKIP;
     }
     FrFront_EndRetry(request->front, request, BkClock_Now());
-    if (fields.request_id.len == 0 && !request->up->is_daemon) {
+    if (fields.request_id.len == 0 && !request->up->is_daemon &&
+        !names_other_process(request->up, &fields)) {
         FrUpConn_CloseAfter(request->conn);
         if (!FrUpConn_IsFirstExchange(request->conn)) {
             /* perhaps a second copy of the response to an earlier request */
