--- a/tests/unit/test_budget.c
+++ b/tests/unit/test_budget.c
@@ -273,12 +273,71 @@
 }
 END_TEST
 
+/* Daemons under an even load, which try each request again and restart at
+   random, keep to the limit even if it is counted by the requests of the window
+   alone. */
+START_TEST(test_any_window_of_even_load)
+{
+    enum {
+        TICKS_IN_WINDOW = 100,
+        EVEN_TICKS = SECONDS * 10,
+        NOMINAL_RATE = 20 /* requests a second; fewer on average */
+    };
+    BkBudgetConf confs[DAEMONS];
+    static int requests[EVEN_TICKS];
+    static int retries[EVEN_TICKS];
+    BkBudget budgets[DAEMONS] = {0};
+    unsigned seed = 7;
+
+    for (int d = 0; d < DAEMONS; d++) {
+        confs[d] = (BkBudgetConf){.ratio = ratio,
+                                  .slack = slack,
+                                  .window = 10000,
+                                  .started_at = 100000,
+                                  .usable_share = BK_BUDGET_USABLE_SHARE};
+    }
+    for (int tick = 0; tick < EVEN_TICKS; tick++) {
+        BkMs now = 100000 + tick * 100;
+        for (int d = 0; d < DAEMONS; d++) {
+            int n = rand_r(&seed) % (2 * NOMINAL_RATE / 10);
+            for (int i = 0; i < n; i++) {
+                BkBudget_CountRequest(&budgets[d], &confs[d], now);
+                requests[tick]++;
+                if (BkBudget_TakeRetry(&budgets[d], &confs[d], DAEMONS, now)) {
+                    retries[tick]++;
+                    BkBudget_EndRetry(&budgets[d], &confs[d], now, now);
+                }
+            }
+            if (rand_r(&seed) % 200 == 0) {
+                budgets[d] = (BkBudget){0}; /* restart */
+                confs[d].started_at = now;
+            }
+        }
+    }
+    for (int from = 100; from + TICKS_IN_WINDOW <= EVEN_TICKS; from++) {
+        int request_count = 0;
+        int retry_count = 0;
+        for (int i = from; i < from + TICKS_IN_WINDOW; i++) {
+            request_count += requests[i];
+            retry_count += retries[i];
+        }
+        ck_assert_int_gt(retry_count, 0);
+        ck_assert_msg(retry_count <= ratio * request_count + slack,
+                      "%d retries for %d requests from tick %d on",
+                      retry_count, request_count, from);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {
-        test_limits, test_any_window, test_any_window_with_restarts,
-        test_any_window_while_callers_move, test_any_window_of_late_arrivals};
+    const TTest *const tests[] = {test_limits,
+                                  test_any_window_of_even_load,
+                                  test_any_window,
+                                  test_any_window_with_restarts,
+                                  test_any_window_while_callers_move,
+                                  test_any_window_of_late_arrivals};
 
-    return BkUnit_Main("budget", tests, 5);
+    return BkUnit_Main("budget", tests, 6);
 }
