--- a/review/standins/small.py
+++ b/review/standins/small.py
@@ -6,6 +6,7 @@
 import json
 import os
 import shutil
+import socket
 import subprocess
 import sys
 import tempfile
@@ -105,8 +106,10 @@
         self.on_disk = set(on_disk) | set(models)
         self.sizes = {x["name"]: x for x in engine["models"]}
         self.running = {}  # runs of each model, and of each (model, adapter)
+        self.leaving = set()  # adapters to unload when their runs are over
         self.over = []  # orders to load more than it holds
         self.lose = None  # function(order): s until it is carried out, or None
+        self.born = int(time.time() * 1000)
         super().__init__(store, name, service=service, slots=engine["slots"],
                          models={k: set(v) for k, v in models.items()},
                          handler=self.answer)
@@ -120,14 +123,28 @@
             "version": "v1", "slots": self.slots, "state": "ready",
             "coldRemainingMs": 0, "stage": "both",
             "models": self.list_models(), "atHand": self.at_hand(),
-            "sequence": 1, **changes})
+            "sequence": 1, "born": self.born, **changes})
 
     def beat(self):
-        while not self.ended:
+        while True:
             time.sleep(HEARTBEAT_S)
             if not self.ended:
                 self.register()
 
+    def start_again(self):
+        """After a crash, under the id and at the address that it had. It holds
+        and knows nothing of before, but what is on its disk."""
+        with self.lock:
+            self.models, self.running, self.leaving = {}, {}, set()
+            self.order_count, self.fence, self.busy = 0, 0, None
+            self.reports, self.born = [], int(time.time() * 1000)
+            self.ended = False
+        host, port = self.addr.split(":")
+        self.listener = socket.create_server((host, int(port)), backlog=64)
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.record.write("%s has started again", self.id)
+        self.register()
+
     def list_models(self):
         return [{"name": name, "version": 1, "adapters": sorted(adapters)}
                 for name, adapters in sorted(self.models.items())]
@@ -140,7 +157,7 @@
                 "busy": self.busy is not None, "sequence": self.order_count,
                 "waiting": 0, "running": sum(self.running.values()),
                 "kvUsed": 0, "kvTotal": self.engine["kvCapacityTokens"],
-                "handles": 0, "atHand": self.at_hand()}
+                "handles": 0, "atHand": self.at_hand(), "born": self.born}
 
     def report(self):
         now = time.monotonic()
@@ -172,8 +189,12 @@
             sock.sendall(b"0\r\n\r\n")
         finally:
             with self.lock:
-                for key in {model, name}:
+                for key in {model, name} & set(self.running):
                     self.running[key] -= 1
+                if name in self.leaving and self.running.get(name, 0) <= 0:
+                    self.leaving.discard(name)
+                    self.models.get(model, set()).discard(
+                        name.partition("/")[2])
         return True
 
     # orders
@@ -236,9 +257,13 @@
             if count + 1 > self.engine["adapterSlots"]:
                 self.exceed(order)
             held.add(adapter)
-        else:
-            held.discard(adapter)
         self.order_count += 1
+        full_name = "%s/%s" % (name, adapter)
+        if not loads and self.running.get(full_name, 0) > 0:
+            self.leaving.add(full_name)
+            return 202
+        if not loads:
+            held.discard(adapter)
         return 202 if loads else 200
 
     def used_mb(self):
