--- a/review/1/run.py
+++ b/review/1/run.py
@@ -75,7 +75,9 @@
     traffic = Traffic(record, fronts, "/llm/")
     traffic.add(cycle(["m2/a1", "m2/a2", "m2/a3", "m2/a4", "m3", "m5", "m6",
                        "m7", "m8", "m9", "m10"]), 0.03)
-    time.sleep(6)
+    time.sleep(5)
+    traffic.add(cycle(["m5/a%d" % n for n in range(1, 9)]), 0.02)
+    time.sleep(1)
     record.write("consumers begin to ask for m4, which no engine holds")
     traffic.add(lambda: "m4", 0.2)
     wait("an order to unload m1", lambda: orders.unload_at, 20)
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -18,6 +18,7 @@
 from platform_standins import (Caller, Replica, Store,  # noqa: E402
                                configure, raw_request, route, sealed)
 
+LEAD_S = 10  # before the trouble, more than contactMs after the start
 LENGTH_S = 100
 TROUBLE_S, CALM_S = 5, 2  # by turns
 SPOILED_SHARE = 0.05    # of the answers of SPOILING of the STREAMERS replicas
@@ -30,9 +31,10 @@
 LOOKUP_S = 0.1
 
 
-def is_trouble(began=time.monotonic()):
-    return TROUBLE and (time.monotonic() - began) % (TROUBLE_S + CALM_S) \
-        < TROUBLE_S
+def is_trouble(clock={}):
+    """clock: when the trouble began, set once the daemon is ready."""
+    since = time.monotonic() - clock.get("from", float("inf"))
+    return TROUBLE and since >= 0 and since % (TROUBLE_S + CALM_S) < TROUBLE_S
 
 
 class Streams:
@@ -172,6 +174,7 @@
     apps = [Replica(store, "app-%d" % n, "app", slots=6, handler=look_up)
             for n in range(3)]
     front, = start_fronts(world, store, 1)
+    is_trouble.__defaults__[0]["from"] = time.monotonic() + LEAD_S
     lookups, readers = Lookups(record, front), Readers(record, front)
     for _ in range(LOOKUP_CONSUMERS):
         threading.Thread(target=lookups.run, daemon=True).start()
