caller: end the request of a closed connection from the loop only

Cause: a write to a caller that has reset its connection fails, and the connection was closed and its request ended inside that write. FrRequest_OnBody went on with the request: its pending bytes were not consumed, were over the limit of an unfinished event, and FrRequest_FailAttempt used an upstream that was NULL.

FrCallerConn_Close leaves the request alone now. The reap timer ends it after the callbacks of the round; until then writes to the connection are dropped, and a request without a caller is not dispatched again.

--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -307,6 +307,10 @@
             ? NULL
             : BkSite_FindService(front->site, request->service);
 
+    if (request->caller_conn->dead) {
+        FrRequest_OnCallerGone(request);
+        return true;
+    }
     if (FrStop_MaybeRefuse(request, now) ||
         FrQuarantine_Check(front->quarantine, request, now) !=
             FR_QUARANTINE_FREE) {
--- a/src/front/caller.c
+++ b/src/front/caller.c
@@ -75,23 +75,30 @@
     conn->next = front->dead_caller_conns;
     front->dead_caller_conns = conn;
     FrFront_ScheduleReap(front);
-    if (conn->request != NULL) {
-        FrRequest *request = conn->request;
-        conn->request = NULL;
-        FrRequest_OnCallerGone(request);
+}
+
+void
+FrCallerConns_EndRequestsOfDead(FrFront *front)
+{
+    for (FrCallerConn *conn = front->dead_caller_conns; conn != NULL;
+         conn = conn->next) {
+        if (conn->request != NULL) {
+            FrRequest_OnCallerGone(conn->request);
+        }
     }
 }
 
 void
 FrCallerConn_AbortResponse(FrCallerConn *conn)
 {
-    struct linger reset = {.l_onoff = 1, .l_linger = 0};
-
     conn->request = NULL;
+    if (conn->dead) {
+        return;
+    }
     if (!conn->chunked) {
-        /* closes with a reset: after an orderly close, a body that ends with
-           the connection would look complete */
-        setsockopt(conn->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+        /* after an orderly close, a body that ends with the connection would
+           look complete */
+        FrSocket_ResetOnClose(conn->fd);
     }
     FrCallerConn_Close(conn);
 }
@@ -119,6 +126,7 @@
     shutdown(conn->fd, SHUT_WR);
 }
 
+/* May close the connection, but does not end its request. */
 static void
 send_output(FrCallerConn *conn)
 {
@@ -188,6 +196,10 @@
 void
 FrCallerConn_Reply(FrCallerConn *conn, int code, BkStr fields, BkStr body)
 {
+    if (conn->dead) {
+        conn->request = NULL;
+        return;
+    }
     BkH1_AppendStatusLine(&conn->out, code);
     BkBuf_Append(&conn->out, fields);
     put_connection_field(conn);
@@ -221,6 +233,9 @@
 FrCallerConn_BeginResponse(FrCallerConn *conn, int code, BkStr fields,
                            int64_t length)
 {
+    if (conn->dead) {
+        return;
+    }
     conn->chunked = length < 0 && !conn->http10;
     if (length < 0 && conn->http10) {
         conn->close_after_response = true;
@@ -241,7 +256,7 @@
 void
 FrCallerConn_WriteBody(FrCallerConn *conn, BkStr data)
 {
-    if (data.len == 0) {
+    if (data.len == 0 || conn->dead) {
         return;
     }
     if (conn->chunked) {
@@ -257,6 +272,10 @@
 void
 FrCallerConn_EndResponse(FrCallerConn *conn)
 {
+    if (conn->dead) {
+        conn->request = NULL;
+        return;
+    }
     if (conn->chunked) {
         BkBuf_Append(&conn->out, BK_STR("0\r\n\r\n"));
     }
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -20,6 +20,7 @@
 {
     FrFront *front = arg;
 
+    FrCallerConns_EndRequestsOfDead(front);
     FrUpConn_FreeDead(front);
     while (front->dead_requests != NULL) {
         FrRequest *request = front->dead_requests;
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -245,11 +245,18 @@
 void FrCallerConns_CloseIdle(FrFront *front);
 void FrCallerConns_RefuseIncomplete(FrFront *front);
 
-/* Closes the connection and cancels its request. */
+/* Closes the connection. Its request ends later, when the reap timer runs:
+ * functions that write to the caller may close the connection, and are called
+ * for requests that go on to be used. */
 void FrCallerConn_Close(FrCallerConn *conn);
+
+/* Ends the requests of closed connections. */
+void FrCallerConns_EndRequestsOfDead(FrFront *front);
 void FrCallerConn_Free(FrCallerConn *conn);
 
-/* Sends a complete response and ends the request. fields: header lines, each
+/* The functions below do nothing more on a closed connection.
+ *
+ * Sends a complete response and ends the request. fields: header lines, each
  * with its line end. */
 void FrCallerConn_Reply(FrCallerConn *conn, int code, BkStr fields,
                         BkStr body);
--- a/src/front/quarantine.c
+++ b/src/front/quarantine.c
@@ -138,7 +138,7 @@
                                                    : retry_after);
 }
 
-/* Lists the requests, since the end of one may end others or begin new ones.
+/* Lists the requests, since after the end of one its caller may begin another.
    Those that end stay allocated until the reap timer runs. */
 static FrRequest **
 list_requests(const FrFront *front, int *count)
--- a/src/front/queue.c
+++ b/src/front/queue.c
@@ -234,11 +234,7 @@
     }
     free(counts.rows);
     for (int i = 0; i < count; i++) {
-        /* a refusal may lead to the end of another request in the list, as
-           its caller disconnects */
-        if (refusals[i].request->queued) {
-            FrRequest_RefuseWait(refusals[i].request, refusals[i].retry_after);
-        }
+        FrRequest_RefuseWait(refusals[i].request, refusals[i].retry_after);
     }
 }
 
--- a/src/front/request.c
+++ b/src/front/request.c
@@ -213,7 +213,9 @@
 void
 FrRequest_OnCallerGone(FrRequest *request)
 {
-    request->caller_conn = NULL;
+    FrCallerConn *caller_conn = FrRequest_DetachCaller(request);
+
+    caller_conn->request = NULL;
     request->why = "the caller went away";
     FrRequest_Finish(request, 0);
 }
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -424,9 +424,7 @@
     FrRequest_Finish(request, request->response_code);
     if (responding) {
         FrCallerConn_WriteBody(caller_conn, BkBuf_Str(&rest));
-        if (!caller_conn->dead) {
-            FrCallerConn_EndResponse(caller_conn);
-        }
+        FrCallerConn_EndResponse(caller_conn);
     }
     else {
         FrCallerConn_Reply(caller_conn, request->response_code,
--- a/src/front/stream.c
+++ b/src/front/stream.c
@@ -81,9 +81,7 @@
             BkBuf_Str(&request->response_fields), request->response_length);
     }
     FrCallerConn_WriteBody(request->caller_conn, (BkStr){data.ptr, n});
-    if (request->stage == FR_RESPONDING) {
-        BkBuf_Consume(&request->pending_body, n);
-    }
+    BkBuf_Consume(&request->pending_body, n);
 }
 
 bool
