--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -296,6 +296,22 @@
     return true;
 }
 
+/* Whether something comes before the choice of an upstream: the request has
+   ended, is held, or went by way of another daemon. */
+static bool
+is_settled(FrRequest *request, BkMs now)
+{
+    if (request->caller_conn->dead) {
+        FrRequest_OnCallerGone(request);
+        return true;
+    }
+    return FrStop_MaybeRefuse(request, now) ||
+           FrQuarantine_Check(request->front->quarantine, request, now) !=
+               FR_QUARANTINE_FREE ||
+           FrDetour_TrySend(request, false, now) ||
+           FrDetour_MaybeReturn(request);
+}
+
 bool
 FrRequest_Dispatch(FrRequest *request)
 {
@@ -307,17 +323,7 @@
             ? NULL
             : BkSite_FindService(front->site, request->service);
 
-    if (request->caller_conn->dead) {
-        FrRequest_OnCallerGone(request);
-        return true;
-    }
-    if (FrStop_MaybeRefuse(request, now) ||
-        FrQuarantine_Check(front->quarantine, request, now) !=
-            FR_QUARANTINE_FREE) {
-        return true;
-    }
-    if (FrDetour_TrySend(request, false, now) ||
-        FrDetour_MaybeReturn(request)) {
+    if (is_settled(request, now)) {
         return true;
     }
     request->query.engine = service == NULL ? NULL : service->engine;
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -281,6 +281,24 @@
     }
 }
 
+/* What the engine says that it holds, and what the planner counts. */
+static void
+log_state(const FrEngine *engine, const BkEngineState *state)
+{
+    int adapters = 0;
+
+    for (int i = 0; i < state->report.model_count; i++) {
+        adapters += state->report.models[i].adapter_count;
+    }
+    BkLog_Event(engine->state_known ? BK_LOG_DEBUG : BK_LOG_INFO, "planner",
+                NULL, "engine read", "s:s, s:I, s:b, s:i, s:i, s:i, s:i",
+                "upstream", engine->up->id, "orders",
+                (json_int_t)state->order_count, "busy", state->busy, "models",
+                state->report.model_count, "adapters", adapters,
+                "models_counted", engine->held_count, "adapters_counted",
+                engine->slot_count);
+}
+
 /* The state in an engine's answer may be up to STATE_LAG old. A state that may
    be older than a load already seen as done, or that counts fewer orders than
    the engine has accepted, is ignored. */
@@ -303,6 +321,7 @@
     }
     FrAdapters_UpdateSlots(engine);
     set_held_models(engine, &state->report);
+    log_state(engine, state);
     engine->planner->front->fleet.generation++;
     if (engine->loading == 0 && engine->unloading == 0) {
         /* if busy, it carries out an order that this planner does not know */
@@ -562,13 +581,14 @@
         return;
     }
     BkLog_Event(BK_LOG_INFO, "planner", NULL, "order",
-                "s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:I", "upstream",
+                "s:s, s:s, s:s, s:s, s:I, s:i, s:s, s:I, s:i, s:i", "upstream",
                 engine->up->id, "kind",
                 engine->order.kind == BK_ORDER_LOAD ? "load" : "unload",
                 "model", engine->order.model, "adapter", engine->order.adapter,
                 "expected", (json_int_t)engine->order.expected_order_count,
                 "try", engine->order.tries, "result", result_name(result),
-                "took_ms", (json_int_t)(now - engine->order.first_sent_at));
+                "took_ms", (json_int_t)(now - engine->order.first_sent_at),
+                "models", engine->held_count, "adapters", engine->slot_count);
     apply_signals(engine, http, now);
     handle_order_result(engine, result, now);
     FrEngine_Step(engine, now);
