planner: count an engine's room from what the engine holds

Cause: the slots in use were taken from the list that routing uses. It lacks a model that is closing, for 8 s, although the engine still holds it if the unload has no effect.

The slots come from the engine's own state now, like the models. The same kind of miscount on related paths: models beyond 16 and adapters beyond 64 in a state were left out (such an engine gets no load now, and what was left out is in the log), and adapters of a model that the configuration does not name counted as no megabytes (now as all, as such models do).

--- a/src/front/adapters.c
+++ b/src/front/adapters.c
@@ -82,25 +82,43 @@
     }
 }
 
-void
-FrAdapters_UpdateSlots(FrEngine *engine)
+/* Adds a slot, as it was among the old ones if it is one of them. Returns false
+   if there is no room for it. */
+static bool
+restore_slot(FrEngine *engine, uint32_t model_key, const char *adapter,
+             const FrAdapterSlot *old_slots, int old_count)
+{
+    FrAdapterSlot *slot = find_or_add_slot(
+        engine, model_key, BkStr_NameHash(BkStr_FromC(adapter)));
+
+    for (int i = 0; slot != NULL && i < old_count; i++) {
+        if (old_slots[i].model_key == slot->model_key &&
+            old_slots[i].adapter_key == slot->adapter_key) {
+            *slot = old_slots[i];
+        }
+    }
+    return slot != NULL;
+}
+
+bool
+FrAdapters_UpdateSlots(FrEngine *engine, const BkUpReport *held)
 {
-    const BkUp *up = engine->up;
     FrAdapterSlot old_slots[BK_UP_MAX_ADAPTERS];
-    int count = engine->slot_count;
+    int old_count = engine->slot_count;
+    bool complete = true;
 
     memcpy(old_slots, engine->slots, sizeof(old_slots));
     engine->slot_count = 0;
-    for (int i = 0; i < up->adapter_count; i++) {
-        FrAdapterSlot *slot = find_or_add_slot(engine, up->adapters[i].model,
-                                               up->adapters[i].adapter);
-        for (int k = 0; slot != NULL && k < count; k++) {
-            if (old_slots[k].model_key == slot->model_key &&
-                old_slots[k].adapter_key == slot->adapter_key) {
-                *slot = old_slots[k];
-            }
+    for (int i = 0; i < held->model_count; i++) {
+        const BkLoadedModel *model = &held->models[i];
+        uint32_t model_key = BkStr_NameHash(BkStr_FromC(model->name));
+        for (int k = 0; k < model->adapter_count; k++) {
+            complete = restore_slot(engine, model_key, model->adapters[k],
+                                    old_slots, old_count) &&
+                       complete;
         }
     }
+    return complete;
 }
 
 void
@@ -240,7 +258,9 @@
     for (int i = 0; i < engine->slot_count; i++) {
         const BkSiteModel *model =
             BkSite_FindModelByKey(site_engine, engine->slots[i].model_key);
-        used += model == NULL ? 0 : model->adapter_mb;
+        /* the size of one that the configuration does not name is unknown */
+        used +=
+            model == NULL ? site_engine->weights_budget_mb : model->adapter_mb;
     }
     return used;
 }
@@ -253,7 +273,8 @@
     for (int i = 0; i < engine->held_count; i++) {
         const BkSiteModel *model =
             BkSite_FindModelByKey(site_engine, engine->held[i]);
-        used += model == NULL ? 0 : model->weights_mb;
+        used +=
+            model == NULL ? site_engine->weights_budget_mb : model->weights_mb;
     }
     return used;
 }
@@ -297,7 +318,8 @@
             FrAdapters_AnnounceReady(engine);
             continue;
         }
-        bool full = (slot == NULL &&
+        bool full = !engine->held_complete ||
+                    (slot == NULL &&
                      engine->slot_count >= site_engine->adapter_slots) ||
                     total_used_mb(engine, site_engine) + model->adapter_mb >
                         site_engine->weights_budget_mb;
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -210,8 +210,9 @@
     return false;
 }
 
+/* Takes over which models and adapters the engine says that it holds. */
 static void
-set_held_models(FrEngine *engine, const BkUpReport *held)
+set_held(FrEngine *engine, const BkUpReport *held)
 {
     engine->held_count = 0;
     for (int i = 0; i < held->model_count; i++) {
@@ -220,6 +221,8 @@
                 BkStr_NameHash(BkStr_FromC(held->models[i].name));
         }
     }
+    engine->held_complete = FrAdapters_UpdateSlots(engine, held) &&
+                            held->model_count <= BK_UP_MAX_MODELS;
 }
 
 /* Announces to the daemons that requests may go to the model, after a load or
@@ -290,13 +293,14 @@
     for (int i = 0; i < state->report.model_count; i++) {
         adapters += state->report.models[i].adapter_count;
     }
-    BkLog_Event(engine->state_known ? BK_LOG_DEBUG : BK_LOG_INFO, "planner",
-                NULL, "engine read", "s:s, s:I, s:b, s:i, s:i, s:i, s:i",
-                "upstream", engine->up->id, "orders",
-                (json_int_t)state->order_count, "busy", state->busy, "models",
-                state->report.model_count, "adapters", adapters,
-                "models_counted", engine->held_count, "adapters_counted",
-                engine->slot_count);
+    BkLog_Event(engine->state_known && engine->held_complete ? BK_LOG_DEBUG
+                                                             : BK_LOG_INFO,
+                "planner", NULL, "engine read",
+                "s:s, s:I, s:b, s:i, s:i, s:i, s:i", "upstream",
+                engine->up->id, "orders", (json_int_t)state->order_count,
+                "busy", state->busy, "models", state->report.model_count,
+                "adapters", adapters, "models_counted", engine->held_count,
+                "adapters_counted", engine->slot_count);
 }
 
 /* The state in an engine's answer may be up to STATE_LAG old. A state that may
@@ -319,8 +323,7 @@
         !BkUp_ApplyPolledState(up, &state->report, state->order_count, now)) {
         return;
     }
-    FrAdapters_UpdateSlots(engine);
-    set_held_models(engine, &state->report);
+    set_held(engine, &state->report);
     log_state(engine, state);
     engine->planner->front->fleet.generation++;
     if (engine->loading == 0 && engine->unloading == 0) {
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -262,7 +262,8 @@
 
     *out = (BkPlanEngine){.key = up->key,
                           .open = BkUp_IsOpen(up),
-                          .has_order = !FrEngine_IsIdle(engine),
+                          .has_order = !FrEngine_IsIdle(engine) ||
+                                       !engine->held_complete,
                           .capacity_mb = site_engine->weights_budget_mb,
                           .held_count = engine->held_count,
                           .loading = engine->loading,
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -92,6 +92,8 @@
        get no new requests */
     uint32_t held[BK_UP_MAX_MODELS];
     int held_count;
+    /* held and slots have all that it holds; else nothing is loaded there */
+    bool held_complete;
     uint32_t loading;   /* model; 0: none */
     uint32_t unloading; /* model; 0: none */
     BkMs change_due_at; /* when the load or unload should end */
@@ -302,8 +304,10 @@
  * expected to be loaded by now. arg is the engine. */
 void FrAdapters_AnnounceReady(void *arg);
 
-/* Rebuilds the slots from up->adapters, which the engine's state has set. */
-void FrAdapters_UpdateSlots(FrEngine *engine);
+/* Rebuilds the slots from what the engine says that it holds. up->adapters
+ * would not do: it lacks adapters that get no new requests. Returns false if
+ * there are more than can be counted. */
+bool FrAdapters_UpdateSlots(FrEngine *engine, const BkUpReport *held);
 
 /* The engine accepted an order for an adapter. already_done: it has carried
  * the order out; else it is still doing so. */
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -38,8 +38,8 @@
 
 
 def ask(front, model, **fields):
-    return Caller(front).ask("/llm/", b"", X_Model=model,
-                             X_Token_Count="100,10", **fields)
+    return Caller(front).ask("/llm/", b"", **{
+        "X_Model": model, "X_Token_Count": "100,10", **fields})
 
 
 def terms(daemons):
