memory: bound what connections and requests hold together

An upstream, or callers, who keep a connection busy without end could make a process exceed its VM's memory, and end the requests of all others there.

Cause: each connection's buffers had a limit, their sum had none, and the settings did not name the memory.

The slice memory (pure) has two marks: above the first, less waits for each caller and those who have neither read nor sent for longest are ended; above the second, requests are rejected. BkBuf counts what buffers have allocated, large ones grow by a quarter, and are freed when empty. Sockets have a bounded receive buffer. The setting is filled in from the platform's settings.

--- a/include/bk/base/str.h
+++ b/include/bk/base/str.h
@@ -69,6 +69,9 @@
 /* Frees the bytes and leaves an empty buffer with the same limit. */
 void BkBuf_Destroy(BkBuf *buf);
 
+/* Bytes that all buffers of the process have allocated. */
+size_t BkBuf_TotalBytes(void);
+
 /* Empties the buffer, but keeps its memory. */
 void BkBuf_Clear(BkBuf *buf);
 
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -6,9 +6,13 @@
 #include <xxhash.h>
 
 enum {
-    MIN_CAP = 64
+    MIN_CAP = 64,
+    MAX_DOUBLED_CAP = 32 * 1024, /* bytes; a larger buffer grows by less */
+    MAX_KEPT_CAP = 32 * 1024     /* bytes that an empty buffer keeps */
 };
 
+static size_t total_buffer_bytes;
+
 BkStr
 BkStr_FromC(const char *text)
 {
@@ -131,10 +135,17 @@
 void
 BkBuf_Destroy(BkBuf *buf)
 {
+    total_buffer_bytes -= buf->cap;
     free(buf->ptr);
     *buf = BkBuf_Make(buf->max);
 }
 
+size_t
+BkBuf_TotalBytes(void)
+{
+    return total_buffer_bytes;
+}
+
 void
 BkBuf_Clear(BkBuf *buf)
 {
@@ -157,9 +168,10 @@
     }
     size_t cap = buf->cap == 0 ? MIN_CAP : buf->cap;
     while (cap < need) {
-        cap *= 2;
+        cap += cap < MAX_DOUBLED_CAP ? cap : cap / 4;
     }
     buf->ptr = BkMem_Grow(buf->ptr, cap, 1);
+    total_buffer_bytes += cap - buf->cap;
     buf->cap = cap;
     return BK_OK;
 }
@@ -205,6 +217,9 @@
 BkBuf_Consume(BkBuf *buf, size_t n)
 {
     if (n >= buf->len) {
+        if (buf->cap > MAX_KEPT_CAP) {
+            BkBuf_Destroy(buf);
+        }
         BkBuf_Clear(buf);
         return;
     }
--- a/src/front/caller.c
+++ b/src/front/caller.c
@@ -8,6 +8,7 @@
 
 #include "bk/base/log.h"
 #include "detour.h"
+#include "memory.h"
 #include "socket.h"
 #include "stop.h"
 
@@ -17,8 +18,6 @@
     MAX_READ_AHEAD = 64 * 1024,
     /* bytes that another daemon may add to a caller's head */
     MAX_ADDED_HEAD = 1024,
-    /* unsent bytes above which the upstream is not read */
-    MAX_UNSENT = 64 * 1024,
     /* ms to wait for the caller to close after the last response */
     LINGER_TIMEOUT = 1000,
     /* ms, from the first byte of a request until it has arrived completely */
@@ -140,12 +139,14 @@
             return;
         }
         BkBuf_Consume(&conn->out, (size_t)n);
+        conn->progress_at = BkClock_Now();
     }
     if (conn->out.len == 0 && conn->request == NULL &&
         conn->close_after_response && !conn->lingering) {
         start_linger(conn);
     }
-    if (conn->output_full && conn->out.len < MAX_UNSENT / 2) {
+    if (conn->output_full &&
+        conn->out.len <= FrMemory_GetMaxUnsent(conn->front) / 2) {
         conn->output_full = false;
         if (conn->request != NULL) {
             FrRequest_OnCallerDrained(conn->request);
@@ -259,6 +260,9 @@
     if (data.len == 0 || conn->dead) {
         return;
     }
+    if (conn->out.len == 0) {
+        conn->progress_at = BkClock_Now();
+    }
     if (conn->chunked) {
         BkH1_AppendChunk(&conn->out, data);
     }
@@ -266,7 +270,7 @@
         BkBuf_Append(&conn->out, data);
     }
     send_output(conn);
-    conn->output_full = conn->out.len > MAX_UNSENT;
+    conn->output_full = conn->out.len > FrMemory_GetMaxUnsent(conn->front);
 }
 
 void
@@ -326,6 +330,7 @@
     conn->parser =
         BkH1Parser_Create(BK_H1_REQUEST, max_head, on_body_data, conn);
     conn->state_since = BkClock_Now();
+    conn->progress_at = conn->state_since;
     conn->head_checked = false;
     conn->body_too_large = false;
     conn->chunked = false;
@@ -352,6 +357,13 @@
     reject(conn, 503, fr_stop_reason, FR_STOP_RETRY_AFTER);
 }
 
+static void
+reject_for_memory(FrCallerConn *conn)
+{
+    conn->refusal = conn->from_daemon ? FR_REFUSED_FULL : FR_NOT_REFUSED;
+    reject(conn, 503, fr_memory_reason, FR_MEMORY_RETRY_AFTER);
+}
+
 /* Returns false if the request was rejected or the connection closed. */
 static bool
 check_head(FrCallerConn *conn, const BkH1Head *head)
@@ -416,6 +428,12 @@
     if (conn->parser == NULL) {
         begin_parsing(conn);
     }
+    if (FrMemory_GetLevel(conn->front) == BK_MEMORY_SPENT &&
+        !FrMemory_MakeRoom(conn->front)) {
+        end_parsing(conn);
+        reject_for_memory(conn);
+        return data.len;
+    }
     size_t n = BkH1Parser_Feed(conn->parser, data);
     BkH1State state = BkH1Parser_State(conn->parser);
     if (conn->body_too_large) {
@@ -470,6 +488,7 @@
         return;
     }
     BkStr input = {data, (size_t)n};
+    conn->progress_at = BkClock_Now();
     if (conn->lingering) {
         return;
     }
@@ -505,6 +524,7 @@
     conn->from_daemon = listener == &front->peers_listener;
     conn->fd = fd;
     conn->state_since = BkClock_Now();
+    conn->progress_at = conn->state_since;
     /* until the first response; then the configured limit applies */
     conn->idle_timeout = 15 * BK_MS_PER_S;
     conn->body = BkBuf_Make(0);
@@ -630,6 +650,26 @@
     }
 }
 
+void
+FrCallerConn_EndForMemory(FrCallerConn *conn)
+{
+    if (conn->dead) {
+        return;
+    }
+    if (conn->parser != NULL) {
+        end_parsing(conn);
+        reject_for_memory(conn);
+    }
+    else if (conn->request != NULL) {
+        FrRequest_GiveUp(conn->request, fr_memory_reason,
+                         FR_MEMORY_RETRY_AFTER);
+    }
+    else {
+        FrSocket_ResetOnClose(conn->fd);
+        FrCallerConn_Close(conn);
+    }
+}
+
 void
 FrCallerConns_Sweep(FrFront *front, BkMs now)
 {
--- a/src/front/conf.c
+++ b/src/front/conf.c
@@ -16,6 +16,8 @@
          "lines a second of severity info and below"),
     SPEC("daemon", "descriptors", BK_SETTING_INT, max_descriptors, "1024", 64,
          1000000, "file descriptors that the process may have"),
+    SPEC("daemon", "memory", BK_SETTING_INT, memory_mb, "512", 1, 1000000,
+         "megabytes of memory that the process may use"),
     SPEC("daemon", "first_start", BK_SETTING_BOOL, first_start, "no", 0, 0,
          "whether the whole system starts for the first time"),
     SPEC("daemon", "grace", BK_SETTING_MS, stop_grace, "8s", 100, 600000,
--- a/src/front/front.c
+++ b/src/front/front.c
@@ -1,5 +1,6 @@
 #include "admission.h"
 #include "links.h"
+#include "memory.h"
 #include "origins.h"
 #include "peers.h"
 #include "planner.h"
@@ -149,6 +150,7 @@
     BkMs now = BkClock_Now();
 
     FrCallerConns_Sweep(front, now);
+    FrMemory_Step(front, now);
     /* frees the pools of upstreams that the fleet may free then */
     close_idle_connections(front, now);
     BkFleet_Sweep(&front->fleet, now);
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -22,6 +22,7 @@
 #include "bk/front/adapter.h"
 #include "bk/front/conf.h"
 #include "bk/h1/h1.h"
+#include "bk/memory/memory.h"
 #include "bk/net/http_client.h"
 #include "bk/net/http_server.h"
 #include "bk/pick/pick.h"
@@ -97,6 +98,8 @@
     BkCounter *far_response_bytes;
     /* responses to another request than the one sent */
     BkCounter *stray_responses;
+    BkCounter *memory;       /* bytes of connections and requests */
+    BkCounter *memory_ended; /* connections ended for want of memory */
 } FrMetrics;
 
 /* Why a daemon does not take a request that came by way of another one. */
@@ -169,6 +172,9 @@
     FrRequest *dead_requests;
     FrUpConn *dead_up_conns;
 
+    int64_t unread_bytes;       /* see memory.c */
+    BkMemoryLevel memory_level; /* as last logged */
+    BkMs memory_stepped_at;
     bool stopping;          /* SIGTERM was received */
     BkMs stop_requested_at; /* when it was */
 };
@@ -228,6 +234,7 @@
     bool lingering; /* shut down for writing; waits for the caller to close */
     bool dead;      /* closed, to be freed */
     bool output_full;  /* out is over its limit: the upstream is not read */
+    BkMs progress_at;  /* when the caller last read or sent */
     BkMs idle_timeout; /* close the connection after this idle time */
     FrCallerConn *prev;
     FrCallerConn *next;
@@ -274,6 +281,10 @@
 void FrCallerConn_WriteBody(FrCallerConn *conn, BkStr data);
 void FrCallerConn_EndResponse(FrCallerConn *conn);
 
+/* Ends the connection since memory is short: rejects a request that is being
+ * received, and breaks off a response. */
+void FrCallerConn_EndForMemory(FrCallerConn *conn);
+
 /* Closes the connection in such a way that the caller cannot mistake the part
  * of the response that it has for a complete one. */
 void FrCallerConn_AbortResponse(FrCallerConn *conn);
--- a/src/front/metrics.c
+++ b/src/front/metrics.c
@@ -37,7 +37,12 @@
         .stray_responses =
             BkCounter_Get("bk_front_stray_answers_total", NULL,
                           "answers to another request than the one "
-                          "sent")};
+                          "sent"),
+        .memory = BkCounter_Get("bk_front_memory_bytes", NULL,
+                                "bytes of connections and requests"),
+        .memory_ended =
+            BkCounter_Get("bk_front_memory_ended_total", NULL,
+                          "connections ended while memory was short")};
 }
 
 static void
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -1,16 +1,10 @@
 #include "admission.h"
 #include "detour.h"
+#include "memory.h"
 #include "quarantine.h"
 #include "request.h"
 #include "signals.h"
 
-enum {
-    /* bytes of a body that are held back before the response to the caller
-       begins; up to there, another attempt can replace a broken response */
-    MAX_HELD_BACK = 64 * 1024,
-    MAX_EVENT = 64 * 1024 /* bytes of an event of a stream */
-};
-
 /* Copies the header fields to forward to the caller. */
 static void
 copy_fields(FrRequest *request, const BkH1Head *head)
@@ -321,19 +315,24 @@
 void
 FrRequest_OnBody(FrRequest *request, BkStr data)
 {
+    /* bytes of an unfinished event, or of a body that is held back before the
+       response to the caller begins: up to there, another attempt can replace
+       a broken response */
+    size_t max_pending = FrMemory_GetMaxUnsent(request->front);
+
     note_prompt_processed(request);
     record_pause(request);
     note_output(request);
     BkBuf_Append(&request->pending_body, data);
     if (is_event_stream(request)) {
         FrStream_ForwardEvents(request);
-        if (request->pending_body.len > MAX_EVENT) {
+        if (request->pending_body.len > max_pending) {
             FrRequest_FailAttempt(request, true, true,
                                   "an event of the stream has no end");
             return;
         }
     }
-    else if (request->pending_body.len > MAX_HELD_BACK ||
+    else if (request->pending_body.len > max_pending ||
              request->stage == FR_RESPONDING) {
         if (request->stage == FR_SENT) {
             begin_response(request);
--- a/src/front/socket.c
+++ b/src/front/socket.c
@@ -23,7 +23,10 @@
     int interval_s = KEEPALIVE_INTERVAL;
     int probes = KEEPALIVE_PROBES;
     unsigned user_timeout_ms = (unsigned)unacked_timeout;
+    int receive_buffer = FR_RECEIVE_BUFFER;
 
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+               sizeof(receive_buffer));
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout_ms,
                sizeof(user_timeout_ms));
--- a/src/front/socket.h
+++ b/src/front/socket.h
@@ -8,7 +8,12 @@
 
 #include "bk/base/clock.h"
 
-/* Sets options of a TCP socket: small writes are sent without delay, and the
+enum {
+    FR_RECEIVE_BUFFER = 32 * 1024 /* bytes that the kernel keeps unread */
+};
+
+/* Sets options of a TCP socket: the kernel keeps at most FR_RECEIVE_BUFFER of
+ * what was received and not read, small writes are sent without delay, and the
  * connection fails when sent bytes stay unacknowledged for unacked_timeout or
  * when an idle peer does not answer keepalive probes. */
 void FrSocket_SetOptions(int fd, BkMs unacked_timeout);
--- a/src/front/up_conn.c
+++ b/src/front/up_conn.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "links.h"
+#include "memory.h"
 #include "socket.h"
 
 enum {
@@ -349,7 +350,10 @@
 read_input(FrUpConn *conn)
 {
     char data[READ_BYTES];
-    ssize_t n = recv(conn->fd, data, sizeof(data), 0);
+    size_t max_unsent = FrMemory_GetMaxUnsent(conn->front);
+    ssize_t n =
+        recv(conn->fd, data,
+             sizeof(data) < max_unsent ? sizeof(data) : max_unsent / 2, 0);
 
     if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
         return;
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -52,6 +52,9 @@
         self.rows, self.version, self.history = {}, 0, []
         self.error_status = None  # status that every call is answered with
         self.silent = False  # whether calls get no answer
+        # bytes that calls are answered with: the first ones, and what follows
+        # them until the connection is closed
+        self.endless = None
         self.lost_version = 0  # feeds no longer know changes up to here
         self.commits, self.reads = [], []  # reads: table names
         self.era = None  # in the header of all answers, unless None
@@ -66,6 +69,9 @@
                 query = dict(urllib.parse.parse_qsl(url.query))
                 while store.silent:
                     time.sleep(0.05)
+                if store.endless:
+                    self.answer_without_end(*store.endless)
+                    return
                 code, value = \
                     (store.error_status, {}) if store.error_status else \
                     store.handle(url.path, query, body)
@@ -79,6 +85,13 @@
                     self.end_headers()
                     self.wfile.write(text)
 
+            def answer_without_end(self, first, repeat):
+                with contextlib.suppress(OSError):
+                    self.wfile.write(first)
+                    while store.endless:
+                        self.wfile.write(repeat * (65536 // len(repeat)))
+                self.close_connection = True
+
             def do_GET(self):
                 self.answer_call()
 
@@ -595,12 +608,13 @@
 
     def __init__(self, world, store, name="front-1", seeds=(), log="debug",
                  term=None, zone="a", bounds=BOUNDS, first_start=False,
-                 **routing):
+                 memory_mb=None, **routing):
         listen, ops = ("127.0.0.1:%d" % next_port() for _ in range(2))
         port = next_port()
         settings = platform_settings(
             name, zone=zone, bounds=bounds, seeds=list(seeds),
             bootstrap=first_start,
+            limits={"maxFds": 1024, "memoryMb": memory_mb},
             internalPortRange=[port, port],
             listen={"front": listen, "ready": ops},
             provider={"address": store.addr})
