arrival: decide what the fields of a request mean where they are read

Cause: the adapter of a request was set also without a model, and FrPlanner_RequestAdapter measured the name of a model that was NULL.

BkAdapter_ReadRequestFields refuses what is repeated or malformed, and the 400 names the field.

--- a/include/bk/front/adapter.h
+++ b/include/bk/front/adapter.h
@@ -32,7 +32,7 @@
     BkStr id;                  /* of the request; empty: missing */
     BkMs until_deadline;       /* from now; 0: none */
     BkStr model;               /* empty: none */
-    BkStr adapter;             /* of the model; empty: none */
+    BkStr adapter;             /* of the model; empty: none, as without one */
     int64_t prompt_tokens;     /* tokens of the prompt; 0: unknown */
     int64_t max_output_tokens; /* most tokens of the output; 0: unknown */
     BkPromptPart parts[BK_MAX_PROMPT_PARTS]; /* of the prompt, in order */
@@ -89,7 +89,8 @@
 } BkResponseFields;
 
 /* Reads the fields of a caller's request; the texts in out are views into
- * head. ERRORS: BK_EINVAL if the deadline or the last event is no number. */
+ * head. ERRORS: BK_EINVAL if a field that decides something is repeated or
+ * malformed; the message names it. */
 BkStatus BkAdapter_ReadRequestFields(const BkH1Head *head,
                                      BkRequestFields *out);
 
--- a/src/front/arrival.c
+++ b/src/front/arrival.c
@@ -176,11 +176,14 @@
 find_rejection(const BkRequestFields *fields, BkStatus status, BkStr target)
 {
     if (status != BK_OK) {
-        return "a header field is malformed";
+        return BkErr_Last();
     }
     if (fields->id.len == 0 || fields->id.len >= FR_REQUEST_ID_BYTES) {
         return "the request has no usable id";
     }
+    if (fields->resumed_id.len >= FR_REQUEST_ID_BYTES) {
+        return "the id of the stream to resume is too long";
+    }
     if (target.len == 0 || target.ptr[0] != '/') {
         return "the target is not a path";
     }
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -324,7 +324,7 @@
                         return
                     buffer += data
                 head, buffer = buffer.split(b"\r\n\r\n", 1)
-                lines = head.decode().split("\r\n")
+                lines = head.decode("latin-1").split("\r\n")
                 fields = {x.split(":")[0].lower(): x.split(":", 1)[1].strip()
                           for x in lines[1:]}
                 length = int(fields.get("content-length", 0))
