doubt: keep in mind loads that an engine may carry out after a restart

Now the doubt belongs to the engine's id: an order brings the count to the number that a late load names only if that load would still fit, and no more loads are left without an answer than an empty engine could take one after the other. The second half was found by the model check, which exceeded the slots with three late loads in a row.

Tests: late_load_after_restart fails without the rule; the one with a takeover passes without it, since the successor's fencing number is higher.

--- a/src/front/adapters.c
+++ b/src/front/adapters.c
@@ -265,8 +265,8 @@
     return used;
 }
 
-static double
-total_used_mb(const FrEngine *engine, const BkSiteEngine *site_engine)
+double
+FrAdapters_TotalUsedMb(const FrEngine *engine, const BkSiteEngine *site_engine)
 {
     double used = FrAdapters_UsedMb(engine, site_engine);
 
@@ -318,13 +318,16 @@
             FrAdapters_AnnounceReady(engine);
             continue;
         }
+        BkDoubtRoom doubtful = FrEngine_GetDoubtfulRoom(engine, now);
         bool full = !engine->held_complete ||
-                    (slot == NULL &&
-                     engine->slot_count >= site_engine->adapter_slots) ||
-                    total_used_mb(engine, site_engine) + model->adapter_mb >
+                    (slot == NULL && engine->slot_count + doubtful.slots >=
+                                         site_engine->adapter_slots) ||
+                    FrAdapters_TotalUsedMb(engine, site_engine) + doubtful.mb +
+                            model->adapter_mb >
                         site_engine->weights_budget_mb;
         if (full) {
-            if (make_unload_order(engine, site_engine, now, &order)) {
+            if (make_unload_order(engine, site_engine, now, &order) &&
+                FrEngine_MayOrder(engine, &order, now)) {
                 FrEngine_SendOrder(engine, &order, now);
             }
             return;
@@ -335,6 +338,9 @@
                               BkStr_NameHash(BkStr_FromC(request->adapter))};
         snprintf(order.model, sizeof(order.model), "%s", request->model);
         snprintf(order.adapter, sizeof(order.adapter), "%s", request->adapter);
+        if (!FrEngine_MayOrder(engine, &order, now)) {
+            return;
+        }
         remove_adapter_request(engine, 0);
         FrEngine_SendOrder(engine, &order, now);
     }
--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -89,6 +89,123 @@
     }
 }
 
+/* What the order takes if it is a load. */
+static BkDoubtRoom
+get_load_room(const FrEngine *engine, const FrOrder *order)
+{
+    const BkSiteEngine *site_engine = FrEngine_FindSiteEngine(engine);
+    const BkSiteModel *model =
+        site_engine == NULL
+            ? NULL
+            : BkSite_FindModelByKey(site_engine, order->model_key);
+    bool of_adapter = order->adapter[0] != '\0';
+
+    if (model == NULL || order->kind != BK_ORDER_LOAD) {
+        return (BkDoubtRoom){0};
+    }
+    return (BkDoubtRoom){.mb = of_adapter ? model->adapter_mb
+                                          : model->weights_mb,
+                         .slots = of_adapter ? 1 : 0};
+}
+
+static BkDoubt
+make_doubt(const FrEngine *engine, const FrOrder *order, uint64_t order_count,
+           BkMs now)
+{
+    return (BkDoubt){.engine = engine->up->key,
+                     .order_count = order_count,
+                     .room = get_load_room(engine, order),
+                     .until = now + MAX_ORDER_DELAY};
+}
+
+/* The order got no answer: the engine may carry it out later, also after it has
+   started again. */
+static void
+note_doubt(const FrEngine *engine, BkMs now)
+{
+    const FrOrder *order = &engine->order;
+    BkDoubt doubt =
+        make_doubt(engine, order, order->expected_order_count, now);
+
+    if (order->kind == BK_ORDER_LOAD) {
+        BkDoubts_Note(&engine->planner->doubts, &doubt, now);
+    }
+}
+
+BkDoubtRoom
+FrEngine_GetDoubtfulRoom(const FrEngine *engine, BkMs now)
+{
+    return BkDoubts_GetRoom(&engine->planner->doubts, engine->up->key,
+                            engine->up->order_count + 1, now);
+}
+
+static void
+log_wait(FrEngine *engine, const FrOrder *order, BkMs now)
+{
+    if (now - engine->wait_logged_at < BK_MS_PER_S) {
+        return;
+    }
+    engine->wait_logged_at = now;
+    BkLog_Event(BK_LOG_INFO, "planner", NULL, "order waits",
+                "s:s, s:s, s:s, s:s, s:I, s:s", "upstream", engine->up->id,
+                "kind", order->kind == BK_ORDER_LOAD ? "load" : "unload",
+                "model", order->model, "adapter", order->adapter, "orders",
+                (json_int_t)engine->up->order_count, "why",
+                "a load without an answer would not fit after it");
+}
+
+static bool
+fits(const BkSiteEngine *site_engine, double mb, int slots)
+{
+    return mb <= site_engine->weights_budget_mb &&
+           slots <= site_engine->adapter_slots;
+}
+
+/* Whether loads in doubt fit after the order. */
+static bool
+fits_after(const FrEngine *engine, const FrOrder *order,
+           const BkSiteEngine *site_engine, BkMs now)
+{
+    BkDoubtRoom doubtful = FrEngine_GetDoubtfulRoom(engine, now);
+    BkDoubtRoom load = get_load_room(engine, order);
+
+    if (doubtful.mb <= 0 && doubtful.slots == 0) {
+        return true;
+    }
+    return fits(site_engine,
+                FrAdapters_TotalUsedMb(engine, site_engine) + load.mb +
+                    doubtful.mb,
+                engine->slot_count + load.slots + doubtful.slots);
+}
+
+/* Whether loads in doubt fit into the engine if it starts again, should this
+   one get no answer. */
+static bool
+fits_after_restart(const FrEngine *engine, const FrOrder *order,
+                   const BkSiteEngine *site_engine, BkMs now)
+{
+    BkDoubt next = make_doubt(engine, order, engine->up->order_count, now);
+    BkDoubtRoom room =
+        BkDoubts_GetStartRoom(&engine->planner->doubts, &next, now);
+
+    return order->kind != BK_ORDER_LOAD ||
+           fits(site_engine, room.mb, room.slots);
+}
+
+bool
+FrEngine_MayOrder(FrEngine *engine, const FrOrder *order, BkMs now)
+{
+    const BkSiteEngine *site_engine = FrEngine_FindSiteEngine(engine);
+
+    if (site_engine == NULL ||
+        (fits_after(engine, order, site_engine, now) &&
+         fits_after_restart(engine, order, site_engine, now))) {
+        return true;
+    }
+    log_wait(engine, order, now);
+    return false;
+}
+
 /* HTTP calls in flight refer to the engine; free_if_removed then frees it when
    the last of them ends. */
 static void
@@ -99,6 +216,9 @@
     if (FrEngine_HasPendingWeightLoad(engine)) {
         FrPlanner_RecordWeightLoad(planner, BkClock_Now());
     }
+    if (engine->order_in_flight) {
+        note_doubt(engine, BkClock_Now());
+    }
     planner->engines[index] = planner->engines[--planner->engine_count];
     engine->planner = NULL;
     BkTimer_Destroy(engine->slot_timer);
@@ -478,6 +598,7 @@
 {
     const FrOrder *order = &engine->order;
 
+    note_doubt(engine, now);
     engine->order_unconfirmed = order->tries < MAX_TRIES;
     engine->retry_at = now + RETRY_DELAY;
     if (engine->order_unconfirmed) {
--- a/src/front/planner.c
+++ b/src/front/planner.c
@@ -256,22 +256,23 @@
 
 static void
 fill_engine(const FrEngine *engine, const BkSiteEngine *site_engine,
-            BkPlanEngine *out)
+            BkPlanEngine *out, BkMs now)
 {
     const BkUp *up = engine->up;
-
-    *out = (BkPlanEngine){.key = up->key,
-                          .open = BkUp_IsOpen(up),
-                          .has_order = !FrEngine_IsIdle(engine) ||
-                                       !engine->held_complete,
-                          .capacity_mb = site_engine->weights_budget_mb,
-                          .held_count = engine->held_count,
-                          .loading = engine->loading,
-                          .unloading = engine->unloading,
-                          .loads_from_store = engine->order.from_weight_store,
-                          .reserved_for = engine->reserved_for,
-                          .cached_in_memory_count = up->cached_in_memory_count,
-                          .cached_on_disk_count = up->cached_on_disk_count};
+    BkDoubtRoom doubtful = FrEngine_GetDoubtfulRoom(engine, now);
+
+    *out = (BkPlanEngine){
+        .key = up->key,
+        .open = BkUp_IsOpen(up),
+        .has_order = !FrEngine_IsIdle(engine) || !engine->held_complete,
+        .capacity_mb = site_engine->weights_budget_mb - doubtful.mb,
+        .held_count = engine->held_count,
+        .loading = engine->loading,
+        .unloading = engine->unloading,
+        .loads_from_store = engine->order.from_weight_store,
+        .reserved_for = engine->reserved_for,
+        .cached_in_memory_count = up->cached_in_memory_count,
+        .cached_on_disk_count = up->cached_on_disk_count};
     /* an order without an answer may still load its model */
     if ((engine->order_unconfirmed || engine->order_in_flight) &&
         engine->order.kind == BK_ORDER_LOAD &&
@@ -324,6 +325,9 @@
         return; /* too long for the messages between daemons */
     }
     strcpy(order.model, model->name);
+    if (!FrEngine_MayOrder(engine, &order, now)) {
+        return;
+    }
     if (move->kind == BK_PLAN_UNLOAD) {
         engine->reserved_for = site_engine->models[move->next_model].key;
         engine->reserved_until = now + RESERVATION_TIME;
@@ -365,7 +369,7 @@
     for (int i = 0; i < planner->engine_count; i++) {
         FrEngine *engine = planner->engines[i];
         if (strcmp(engine->up->service, service->name) == 0) {
-            fill_engine(engine, site_engine, &engines[engine_count]);
+            fill_engine(engine, site_engine, &engines[engine_count], now);
             service_engines[engine_count++] = engine;
         }
     }
@@ -445,6 +449,12 @@
     planner->planned_term = planner->lease.term;
     planner->work_updated_at = now;
     FrPeers_NoteOwnTerm(planner->front->peers, planner->planned_term);
+    if (planner->front->conf.fenced) {
+        /* each engine refuses orders of earlier terms from the first order of
+           this one on, and accepts none after one of theirs that this planner
+           has not counted */
+        BkDoubts_Clear(&planner->doubts);
+    }
     FrEngines_Clear(planner);
     FrDemand_BeginTerm(planner);
     planner->start = (BkPlanStart){.term_began_at = now,
@@ -576,6 +586,7 @@
         return;
     }
     FrEngines_Clear(planner);
+    BkDoubts_Destroy(&planner->doubts);
     FrDemand_Destroy(planner);
     BkTimer_Destroy(planner->timer);
     free(planner);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -18,6 +18,7 @@
 #ifndef BK_FRONT_PLANNER_H
 #define BK_FRONT_PLANNER_H
 
+#include "bk/doubt/doubt.h"
 #include "bk/lease/lease.h"
 #include "bk/peer/gen/peer_xdr.h"
 #include "bk/plan/plan.h"
@@ -88,6 +89,7 @@
     bool load_in_doubt;
     uint64_t doubtful_order_count; /* as in the order */
     BkMs doubt_until;
+    BkMs wait_logged_at; /* when it was last logged that an order waits */
     /* models in the engine's memory according to its own state, even if they
        get no new requests */
     uint32_t held[BK_UP_MAX_MODELS];
@@ -142,6 +144,9 @@
     bool in_term; /* in a term of this daemon, from begin_term to end_term */
     uint64_t planned_term; /* while in_term: number of this term */
     BkPlanStart start;     /* while in_term */
+    /* loads that this daemon ordered without an answer; kept beyond the
+       engine's start and this daemon's term */
+    BkDoubts doubts;
     BkMs store_ok_at; /* when the store was last known to answer this daemon */
     BkMs last_step_at;
     /* the process paused for so long that another daemon may have taken
@@ -280,6 +285,13 @@
 
 /* Whether its state is known, and no order, load or unload is under way. */
 bool FrEngine_IsIdle(const FrEngine *engine);
+
+/* What must be free after the next order, for loads in doubt. */
+BkDoubtRoom FrEngine_GetDoubtfulRoom(const FrEngine *engine, BkMs now);
+
+/* Whether the loads in doubt would still fit after the order. An unload frees
+ * nothing as long as what it unloads is in use. */
+bool FrEngine_MayOrder(FrEngine *engine, const FrOrder *order, BkMs now);
 void FrEngine_SendOrder(FrEngine *engine, const FrOrder *order, BkMs now);
 
 /* Whether a load from the weight store was ordered there without an answer, so
@@ -304,6 +316,10 @@
  * expected to be loaded by now. arg is the engine. */
 void FrAdapters_AnnounceReady(void *arg);
 
+/* Megabytes of the models and adapters that the engine holds. */
+double FrAdapters_TotalUsedMb(const FrEngine *engine,
+                              const BkSiteEngine *site_engine);
+
 /* Rebuilds the slots from what the engine says that it holds. up->adapters
  * would not do: it lacks adapters that get no new requests. Returns false if
  * there are more than can be counted. */
--- a/tests/proof/platform_standins.py
+++ b/tests/proof/platform_standins.py
@@ -250,6 +250,7 @@
                  software=None):
         self.store, self.id, self.service = store, name, service
         self.software = software  # version of its software; None: not told
+        self.born = None  # Unix ms of its start; None: not told
         self.slots, self.models = slots, models
         self.handlers = [handler]
         self.runs, self.orders, self.closed = [], [], []
@@ -275,6 +276,8 @@
                "slots": self.slots, "state": "ready", "sequence": 1}
         if self.software is not None:
             row["version"] = self.software
+        if self.born is not None:
+            row["born"] = self.born
         if self.models is not None:
             row["models"] = [{"name": name, "version": 1,
                               "adapters": sorted(adapters)}
@@ -302,6 +305,19 @@
         for connection in open_connections:
             abort(connection)
 
+    def start_again(self):
+        """After a crash, under its id and at its address: it holds and knows
+        nothing of before."""
+        with self.lock:
+            self.models = {}
+            self.order_count, self.fence, self.busy = 0, 0, None
+            self.reports, self.born = [], int(time.time() * 1000)
+            self.ended = False
+        host, port = self.addr.split(":")
+        self.listener = socket.create_server((host, int(port)), backlog=64)
+        threading.Thread(target=self.accept, daemon=True).start()
+        self.register()
+
     def serve(self, connection):
         buffer = b""
         with self.lock:
