--- a/src/front/attempt.c
+++ b/src/front/attempt.c
@@ -413,6 +413,7 @@
         request->stage = FR_WAITING;
     }
     BkBuf_Clear(&request->pending_body);
+    request->event_scanned = 0;
     FrRequest_Dispatch(request);
 }
 
--- a/src/front/front.h
+++ b/src/front/front.h
@@ -438,6 +438,7 @@
     FrFraming framing;       /* of the upstream's last response */
     size_t partial_event;    /* bytes after the last whole event at its end */
     BkBuf pending_body;      /* part of the body not yet sent to the caller */
+    size_t event_scanned;    /* bytes of it without the end of an event */
     bool response_begun;     /* the response to the caller has begun */
     BkMs response_begun_at;  /* when it began */
     BkMs last_body_at;       /* when the last part of the body came */
--- a/src/front/stream.c
+++ b/src/front/stream.c
@@ -1,27 +1,6 @@
-#include <string.h>
-
+#include "bk/h1/event.h"
 #include "origins.h"
 
-/* Returns the length of the first event in data, with the empty line that ends
-   it; 0 if the event is not complete. */
-static size_t
-first_event_length(BkStr data)
-{
-    for (size_t i = 0; i + 1 < data.len; i++) {
-        if (data.ptr[i] != '\n') {
-            continue;
-        }
-        if (data.ptr[i + 1] == '\n') {
-            return i + 2;
-        }
-        if (i + 2 < data.len && data.ptr[i + 1] == '\r' &&
-            data.ptr[i + 2] == '\n') {
-            return i + 3;
-        }
-    }
-    return 0;
-}
-
 /* Remembers the id of the event, from which the stream could be resumed. */
 static void
 record_event_id(FrRequest *request, BkStr event)
@@ -40,20 +19,21 @@
     }
 }
 
-/* Returns the length of all complete events at the start of data. */
+/* Returns the length of all complete events at the start of the pending body. */
 static size_t
-complete_events_length(FrRequest *request, BkStr data)
+complete_events_length(FrRequest *request)
 {
+    BkStr data = BkBuf_Str(&request->pending_body);
     size_t length = 0;
 
     for (;;) {
-        size_t n =
-            first_event_length((BkStr){data.ptr + length, data.len - length});
+        BkStr rest = {data.ptr + length, data.len - length};
+        size_t n = BkEvent_FindEnd(rest, &request->event_scanned);
         if (n == 0) {
             return length;
         }
         if (request->resumable) {
-            record_event_id(request, (BkStr){data.ptr + length, n});
+            record_event_id(request, (BkStr){rest.ptr, n});
         }
         length += n;
     }
@@ -62,8 +42,7 @@
 void
 FrStream_ForwardEvents(FrRequest *request)
 {
-    BkStr data = BkBuf_Str(&request->pending_body);
-    size_t n = complete_events_length(request, data);
+    size_t n = complete_events_length(request);
 
     if (n == 0) {
         return;
@@ -80,7 +59,8 @@
             request->caller_conn, request->response_code,
             BkBuf_Str(&request->response_fields), request->response_length);
     }
-    FrCallerConn_WriteBody(request->caller_conn, (BkStr){data.ptr, n});
+    FrCallerConn_WriteBody(request->caller_conn,
+                           (BkStr){request->pending_body.ptr, n});
     BkBuf_Consume(&request->pending_body, n);
 }
 
--- a/tests/unit/test_h1.c
+++ b/tests/unit/test_h1.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bk/h1/event.h"
 #include "bk/h1/h1.h"
 #include "script.h"
 
@@ -160,10 +161,51 @@
 }
 END_TEST
 
+/* Lengths of the events in text, which comes in parts of step bytes; each byte
+   is searched twice at most, however many parts there are. */
+static int
+find_events(const char *text, size_t step, size_t *lengths)
+{
+    size_t begin = 0;
+    size_t scanned = 0;
+    int count = 0;
+
+    for (size_t end = step; end < strlen(text) + step; end += step) {
+        size_t limit = end < strlen(text) ? end : strlen(text);
+        for (;;) {
+            size_t n = BkEvent_FindEnd((BkStr){text + begin, limit - begin},
+                                       &scanned);
+            ck_assert_uint_eq(scanned, n == 0 ? limit - begin : 0);
+            if (n == 0) {
+                break;
+            }
+            lengths[count++] = n;
+            begin += n;
+        }
+    }
+    return count;
+}
+
+START_TEST(test_events)
+{
+    const char *text = "data: a\n\nid: 1\r\ndata: b\r\n\r\n\n\n"
+                       "data: c\ndata: d\n\r\ndata: no end\n\r";
+    const size_t expected[] = {9, 18, 2, 18};
+
+    for (size_t step = 1; step <= strlen(text); step++) {
+        size_t lengths[8];
+        ck_assert_int_eq(find_events(text, step, lengths), 4);
+        for (int i = 0; i < 4; i++) {
+            ck_assert_uint_eq(lengths[i], expected[i]);
+        }
+    }
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {test_messages, test_writing};
+    const TTest *const tests[] = {test_events, test_messages, test_writing};
 
-    return BkUnit_Main("h1", tests, 2);
+    return BkUnit_Main("h1", tests, 3);
 }
