--- a/include/bk/store/store.h
+++ b/include/bk/store/store.h
@@ -69,7 +69,7 @@
 
 enum {
     BK_STORE_MAX_OPS = 100, /* in one transaction */
-    BK_STORE_MAX_ROWS = 500 /* in one response */
+    BK_STORE_MAX_ROWS = 500 /* in one part of a table */
 };
 
 /* address: "ip:port". */
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -236,6 +236,9 @@
     if (reply->version < table->version) {
         return; /* older than what is already applied */
     }
+    if (!table->reading_list) {
+        table->list_version = reply->version;
+    }
     if (table->id == FR_TABLE_REPORTS && !table->reading_list) {
         BkFleet_BeginList(&front->fleet);
     }
@@ -248,10 +251,12 @@
         return;
     }
     if (table->id == FR_TABLE_REPORTS) {
-        BkFleet_EndList(&front->fleet, reply->version, now);
+        BkFleet_EndList(&front->fleet, table->list_version, now);
     }
     table->list_done = true;
-    table->version = reply->version;
+    /* the parts are of different moments: rows may have changed or gone since
+       the first one */
+    table->version = table->list_version;
     if (table->id == FR_TABLE_REPORTS) {
         FrFanout_ApplyReordered(table->sync, now);
     }
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -34,10 +34,11 @@
     uint64_t version; /* changes up to this store version are applied */
     /* version after which the last call requested changes */
     uint64_t asked_after;
-    bool list_done;    /* a whole list was read; the feed can be used */
-    bool call_active;  /* the last call has not ended */
-    bool reading_list; /* more parts of the list are to be read */
-    char *next_key;    /* first key of the next part */
+    bool list_done;        /* a whole list was read; the feed can be used */
+    bool call_active;      /* the last call has not ended */
+    bool reading_list;     /* more parts of the list are to be read */
+    uint64_t list_version; /* of the first part */
+    char *next_key;        /* first key of the next part */
     BkMs called_at;
     BkMs replied_at;  /* when the last call succeeded */
     BkMs feed_wait;   /* how long the store may wait for changes; 0: not */
