sync: log no more of a row than it has

A row from another daemon is not followed by a zero byte: the log of one that cannot be decoded got up to 400 bytes of what lay behind it in memory, and the sanitized program ended.

Test: odd_rows_from_another_daemon failed before with sanitizers (a daemon no longer followed the table), and passes.

--- a/src/front/apply_rows.c
+++ b/src/front/apply_rows.c
@@ -6,6 +6,10 @@
 
 #include "bk/base/log.h"
 
+enum {
+    MAX_LOGGED = 400 /* bytes of a row that cannot be decoded */
+};
+
 /* Whether the configuration of the row is to replace the one in force. A store
    that came back from an older copy may hold an older one until the operators
    have written theirs again: the one in force goes on. If they have given out
@@ -90,9 +94,11 @@
         return;
     }
     if (BkAdapter_DecodeReport(row->key, row->value, &report) != BK_OK) {
-        BK_LOG(BK_LOG_WARNING, "sync", NULL,
-               "%s; its upstream counts as removed; report: %.400s",
-               BkErr_Last(), row->value.len == 0 ? "" : row->value.ptr);
+        BK_LOG(
+            BK_LOG_WARNING, "sync", NULL,
+            "%s; its upstream counts as removed; report: %.*s", BkErr_Last(),
+            (int)(row->value.len < MAX_LOGGED ? row->value.len : MAX_LOGGED),
+            row->value.len == 0 ? "" : row->value.ptr);
         BkFleet_ApplyRemoval(&front->fleet, row->key, row->version, now);
         return;
     }
--- a/tests/proof/case_front_odd_rows.py
+++ b/tests/proof/case_front_odd_rows.py
@@ -102,3 +102,31 @@
         check(len(front.events("start")) == 1, "%s started again", front.name)
         check(Caller(front).ask("/safe/")[0] == 200, "%s does not serve",
               front.name)
+
+
+@case
+def odd_rows_from_another_daemon(world):
+    """Short rows that a daemon gets from another one, which are not followed
+    by a zero byte as those from the store are: the log has them and no more,
+    and a sanitized program does not end."""
+    store = Store()
+    configure(store, 1, [route("safe", "safe")])
+    Replica(store, "i-0", slots=50)
+    fronts = [Front(world, store, "front-%d" % n) for n in range(6)]
+    for front in fronts:
+        front.await_ready()
+    hear_each_other(fronts)
+    others = wait("readers", lambda: [
+        x for x in fronts if x.events("reader") and
+        not x.events("reader")[-1]["is"]])
+    for n in range(1, 41):
+        store.put("servers", "short-%d" % n, b"z" * n)
+    check_followed(store, fronts, "i-after", "short rows")
+    found = [line for front in others
+             for line in open(front.log.name, errors="replace")
+             if "report: z" in line]
+    check(found, "no row came from another daemon")
+    for line in found:
+        check(line.split("report: ")[1].startswith(
+            "z" * int(line.split("short-")[1].split("\\")[0].split('"')[0])),
+            "%s", line)
