engines: look at the lease before the order that follows an answer

An answer to an order made the next one go out without a look at the lease, which may have ended meanwhile. Found by reading. state_frozen_planner_with_orders passed before too: requests for adapters that wait are dropped after 1.5 s, as long as the lease there, so that no play shows an order after it.

--- a/src/front/engines.c
+++ b/src/front/engines.c
@@ -715,7 +715,10 @@
                 "models", engine->held_count, "adapters", engine->slot_count);
     apply_signals(engine, http, now);
     handle_order_result(engine, result, now);
-    FrEngine_Step(engine, now);
+    /* the lease may have ended while the order was in flight */
+    if (FrPlanner_IsActive(engine->planner, now)) {
+        FrEngine_Step(engine, now);
+    }
 }
 
 static void
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -391,6 +391,37 @@
         check(fences == sorted(fences), "fences %s", fences)
 
 
+@case
+def state_frozen_planner_with_orders(world):
+    """A planner is frozen beyond its lease while an engine carries out an
+    order, and others wait: the answer does not make it send the next one."""
+    _, (upstream,), daemons = engines(world, [{"m1": set()}], 2)
+    planner, standby = find_planner(daemons)
+    wait("an adapter", lambda: ask(standby, "m1/a1")[0] == 200)
+    order, frozen = upstream.order, threading.Event()
+
+    def freeze_first(connection, body):
+        if not frozen.is_set():
+            frozen.set()
+            planner.freeze()
+        return order(connection, body)
+    upstream.order = freeze_first
+    time.sleep(2.6)  # adapters used shortly before are not unloaded
+    callers = [Caller(standby) for _ in range(3)]
+    for n, caller in enumerate(callers):
+        caller.send(raw_request("/llm/", b"", X_Token_Count="100,10",
+                                X_Model="m1/a%d" % (n + 2)))
+    wait("an order", frozen.is_set)
+    wait("another term", lambda: standby.events("term begins"))
+    wait("an order of that term", lambda: (
+        ask(standby, "m1/a1", X_Deadline_Ms="500"),
+        [x for x in upstream.orders if x["holder"] == standby.name])[1])
+    planner.thaw()
+    wait("it notices", lambda: planner.events("term ends"))
+    time.sleep(0.5)
+    check_fences([upstream])
+
+
 @case
 def state_replaced_planner_store_outage(world):
     """A planner that was frozen and replaced, and that runs again during an
