memory: take fractions in the setting, and say why a stream ends

A platform that writes 260.5 or 260.0 megabytes would have kept every daemon from starting; state_settings_of_the_platform plays such figures (it was extended with the change). An event that is over the limit is too long, and not without an end, while memory is scarce.

--- a/include/bk/front/conf.h
+++ b/include/bk/front/conf.h
@@ -39,7 +39,7 @@
        ones are dropped */
     int64_t log_lines;
     int64_t max_descriptors; /* file descriptors that the process may have */
-    int64_t memory_mb;       /* megabytes that the process may use */
+    double memory_mb;        /* megabytes that the process may use */
     /* routing: see bk/pick/pick.h */
     int64_t prefill_window; /* most unprocessed prompt tokens on one engine */
     int64_t tokens_per_run; /* tokens that a running request counts as */
--- a/src/front/memory.c
+++ b/src/front/memory.c
@@ -17,7 +17,7 @@
 static int64_t
 get_limit(const FrFront *front)
 {
-    return front->conf.memory_mb * MB;
+    return (int64_t)(front->conf.memory_mb * MB);
 }
 
 static int64_t
--- a/src/front/response.c
+++ b/src/front/response.c
@@ -328,7 +328,7 @@
         FrStream_ForwardEvents(request);
         if (request->pending_body.len > max_pending) {
             FrRequest_FailAttempt(request, true, true,
-                                  "an event of the stream has no end");
+                                  "an event of the stream is too long");
             return;
         }
     }
--- a/tests/proof/case_front_state.py
+++ b/tests/proof/case_front_state.py
@@ -74,10 +74,12 @@
 def state_settings_of_the_platform(world):
     """Each figure that the platform fills in may be whole, a fraction, 0 or
     large, or be missing; one that is no number is named with its key."""
-    def load(bounds):
+    def load(bounds, **limits):
         path = os.path.join(world.dir, "settings.ini")
         with open(path, "w") as file:
-            file.write(render(platform_settings("front-1", bounds=bounds)))
+            file.write(render(platform_settings(
+                "front-1", bounds=bounds,
+                limits={"maxFds": 1024, **limits})))
         result = subprocess.run(
             [os.path.join(world.build, "src/front/bk-front"), "--config",
              path, "--check-config"], text=True, stdout=subprocess.PIPE,
@@ -95,6 +97,11 @@
         for value in values + ("0",) * (key in zero_allowed) + (None,):
             status, output = load({key: value})
             check(status == 0, "%s %s: %s", key, value, output)
+    for value in (260, 260.5, 8, 1000000, None):
+        status, output = load({}, memoryMb=value)
+        check(status == 0, "memoryMb %s: %s", value, output)
+    status, output = load({}, memoryMb="much")
+    check(status != 0 and "[daemon] memory" in output, "%s", output)
     for key, name in (("budgetSlack", "[retries] slack"),
                       ("leaseMs", "[planner] lease")):
         status, output = load({key: "many"})
