--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?=
 CASE ?=
 
-.PHONY: all setup build check demo proof bench bench-path days slopes lint format \
+.PHONY: all setup build check demo proof bench bench-events bench-path days slopes lint format \
 	sanitize fuzz clean
 
 all: build
@@ -30,6 +30,9 @@
 bench: build
 	@bench/run $(BUILD) $(SEED)
 
+bench-events: build
+	@bench/events/run $(BUILD)
+
 bench-path: build
 	@bench/path/run $(BUILD)
 
