proof: restart all daemons beside another writer's entries

What callers saw: almost no request was served after all processes had been restarted, while an entry of another writer was in the list of replicas, with &, +, #, % or a blank in its name; the list had more than one page.

Cause: the next page starts at the last key of the one before, which went into the URL unencoded. The store took it for another key or another parameter, or the call failed, so the same pages were read again and again, and a daemon that starts is not ready before it has read the list. No other change.

--- /dev/null
+++ b/tests/proof/case_front_foreign_entries.py
@@ -0,0 +1,96 @@
+"""Entries that another writer leaves in the lists of the store. All daemons die
+and are restarted while the entries are there: they are ignored, and the other
+entries are used.
+"""
+import itertools
+import time
+
+from basics import case
+from case_front_crashes import Fleet, Load
+from case_front_return import MODELS, RECOVER_S, SOUND_PARTS, ask_stream, \
+    await_contact, check_served, configure_engines
+from platform_standins import Replica, Store
+
+FRONTS = 8
+ENGINES = 9
+LONG_LIST = 1300  # entries; the store returns pages of 500
+PAUSE_S = 0.1
+# reserved in URLs, or not allowed there
+SUFFIXES = ["&", "+", "#", "%", " ", "=", "?", "/", "%41", '"', "'", "\\", ";",
+            "\u00e4", "\U0001f600", "&from=zz", "&limit=1", "\r\n", "\t",
+            "a & b+c#d%e"]
+UPSTREAM = {"service": "llm", "address": "127.0.0.1:9", "zone": "a",
+            "slots": 4, "state": "ready", "sequence": 1}
+FOREIGN_VALUES = [
+    b"", b"{}", b"text", b"[]", b"null", {"state": "ready"},
+    {**UPSTREAM, "service": "none"}, {**UPSTREAM, "service": 7},
+    {**UPSTREAM, "address": ""}, {**UPSTREAM, "address": []},
+    {**UPSTREAM, "slots": "many"}, {**UPSTREAM, "state": "unknown"}]
+
+
+def write_entries(store, table, names):
+    for name, value in zip(names, itertools.cycle(FOREIGN_VALUES)):
+        store.put(table, name, value)
+
+
+def name_entries(prefixes, count):
+    return ["%s%04d%s" % (prefix, n, text) for n, prefix, text in
+            zip(range(count), itertools.cycle(prefixes),
+                itertools.cycle(SUFFIXES))]
+
+
+def start(world):
+    """Returns the store, and the fleet once its daemons know each other."""
+    store = Store()
+    configure_engines(store, loadsPerS=10)
+    for n in range(ENGINES):
+        Replica(store, "e-%d" % n, "llm", 64,
+                models={MODELS[n % 3]: set(), MODELS[(n + 1) % 3]: set()})
+    fleet = Fleet(world, store, FRONTS)
+    await_contact(fleet)
+    return store, fleet
+
+
+def check_restart(fleet):
+    """All daemons are killed at once and restarted: requests are served in
+    time."""
+    for n in range(FRONTS):
+        fleet.kill(n)
+    for n in range(FRONTS):
+        fleet.add(n)
+    back = time.monotonic()
+    loads = [Load(fleet, ask_stream(model, SOUND_PARTS), PAUSE_S)
+             for model in MODELS]
+    check_served(fleet, loads, back, RECOVER_S)
+
+
+def check_entries(world, prefixes, count, page=500):
+    store, fleet = start(world)
+    store.list_rows = page
+    write_entries(store, "servers", name_entries(prefixes, count))
+    check_restart(fleet)
+
+
+@case
+def foreign_entries_first(world):
+    """The first page holds nothing else."""
+    check_entries(world, ["!"], LONG_LIST)
+
+
+@case
+def foreign_entries_interleaved(world):
+    """They are on every page."""
+    check_entries(world, ["e-%d" % n for n in range(ENGINES)], LONG_LIST)
+
+
+@case
+def foreign_entries_last(world):
+    """They follow all others."""
+    check_entries(world, ["z"], LONG_LIST)
+
+
+@case
+def foreign_entries_in_small_pages(world):
+    """Each entry ends a page."""
+    check_entries(world, ["!", *["e-%d" % n for n in range(ENGINES)], "z"], 60,
+                  page=2)
