store: continue a list after keys that cannot be read

What callers saw: no request was served after a restart of all daemons while another writer's entries filled a page of the list of replicas with names that hold NUL or a lone surrogate.

Cause: the next page started at the last key that could be decoded, not at the last key of the page. A page without a new key that can be decoded led to itself (sync: repeats_key), and one without any was an error (EDECODE); the list never ended, and a daemon that starts is not ready before it has read the list.

Change: the client of the table service tells where a list continues (BkStoreReply.next_key), by the last key of the page, whether or not it is used. Marks in a repaired JSON text hold the code of what they stand for, so the original bytes of a key are known and are sent percent-encoded. UTF-8 has no lone surrogates: U+E000 stands for one and the rest of its key. In byte order, only keys with a lone surrogate lie between that key and the replacement, so no readable entry is skipped. A page that does not lead beyond the key it was asked for is EDECODE for all readers of lists. First keys are length-counted.

--- a/include/bk/base/utf8.h
+++ b/include/bk/base/utf8.h
@@ -37,4 +37,13 @@
 /* Whether a string of a repaired text is not the one that was sent. */
 bool BkUtf8_WasRepaired(const json_t *string);
 
+/*
+ * Appends where to go on after this string in a list that is sorted by bytes:
+ * the string as it was sent. If that holds a single surrogate, which UTF-8 does
+ * not have, U+E000 stands for it and what follows: only strings that hold one
+ * lie between the two. repaired: as BkUtf8_LoadJson set it for the text of the
+ * string.
+ */
+void BkUtf8_AppendBound(BkBuf *out, const json_t *string, bool repaired);
+
 #endif
--- a/include/bk/store/store.h
+++ b/include/bk/store/store.h
@@ -45,7 +45,10 @@
     BkStatus status;
     const BkStoreRow *rows; /* valid during the callback only */
     int count;
-    bool has_more; /* there are further rows after the last one */
+    bool has_more; /* there are further rows; next_key is set */
+    /* where they begin: the last row of this part comes again, unless its key
+       could not be read */
+    BkStr next_key;
     /* newest era of the store that is known, which gave out the versions; 0:
        the store does not tell its era */
     uint64_t era;
@@ -83,9 +86,9 @@
     BkMs idle;
 } BkStoreTimeouts;
 
-/* Reads the rows of a table in key order, starting with first_key (NULL: with
- * the first row). */
-void BkStore_ReadRows(BkStore *store, const char *table, const char *first_key,
+/* Reads the rows of a table in key order, starting with first_key (empty: with
+ * the first row). A part of a list that leads no further is BK_EDECODE. */
+void BkStore_ReadRows(BkStore *store, const char *table, BkStr first_key,
                       BkStoreTimeouts timeouts, BkStoreFn fn, void *arg);
 
 /* Reads the changes of a table after a version. If there are none, the service
--- a/src/base/utf8.c
+++ b/src/base/utf8.c
@@ -113,9 +113,22 @@
 
 enum {
     ESCAPE_LEN = 6, /* \uXXXX */
-    HEX = 16
+    CODE_LEN = 4,   /* XXXX */
+    HEX = 16,
+    FIRST_SURROGATE = 0xd800,
+    FIRST_LOW_SURROGATE = 0xdc00,
+    SURROGATES = 0x400, /* of each kind */
+    MARK_CODE = 0xfdd0
 };
 
+/* A noncharacter, which texts that are exchanged do not hold (Unicode 23.7).
+   In a repaired text, the code of what it stands for follows it in
+   hexadecimal. */
+#define MARK BK_STR("\xef\xb7\x90")
+
+/* U+E000, the first character after the surrogates */
+#define AFTER_SURROGATES BK_STR("\xee\x80\x80")
+
 /* the code of the escape \uXXXX at the start of the text; -1 if it is none */
 static long
 escaped_code(BkStr text)
@@ -134,11 +147,11 @@
 static bool
 is_surrogate(long code, long first)
 {
-    return code >= first && code < first + 0x400;
+    return code >= first && code < first + SURROGATES;
 }
 
-/* Length of the escape at the start of the text; *valid: whether jansson reads
-   it. */
+/* Length of the escape at the start of the text; *valid: whether it can stay as
+   it is. */
 static size_t
 escape_len(BkStr text, bool *valid)
 {
@@ -148,20 +161,18 @@
     if (code < 0) {
         return text.len < 2 ? text.len : 2;
     }
-    if (is_surrogate(code, 0xd800) && text.len > ESCAPE_LEN &&
+    if (is_surrogate(code, FIRST_SURROGATE) && text.len > ESCAPE_LEN &&
         is_surrogate(escaped_code((BkStr){text.ptr + ESCAPE_LEN,
                                           text.len - ESCAPE_LEN}),
-                     0xdc00)) {
+                     FIRST_LOW_SURROGATE)) {
         return (size_t)2 * ESCAPE_LEN;
     }
-    *valid = code != 0 && !is_surrogate(code, 0xd800) &&
-             !is_surrogate(code, 0xdc00);
+    *valid = code != 0 && code != MARK_CODE &&
+             !is_surrogate(code, FIRST_SURROGATE) &&
+             !is_surrogate(code, FIRST_LOW_SURROGATE);
     return ESCAPE_LEN;
 }
 
-/* a noncharacter, which texts that are exchanged do not hold (Unicode 23.7) */
-#define MARK BK_STR("\xef\xb7\x90") /* U+FDD0 */
-
 static void
 repair_json(BkStr text, BkBuf *out)
 {
@@ -171,13 +182,17 @@
     while (text.len > 0) {
         bool valid;
         size_t len;
+        long code;
         if (in_string && text.ptr[0] == '\\') {
             len = escape_len(text, &valid);
+            code = escaped_code(text);
         }
         else {
             len = valid_char_len(text);
-            valid =
-                len > 0 && (!in_string || (unsigned char)text.ptr[0] >= ' ');
+            bool is_mark = BkStr_Equal((BkStr){text.ptr, len}, MARK);
+            valid = len > 0 && !is_mark &&
+                    (!in_string || (unsigned char)text.ptr[0] >= ' ');
+            code = is_mark ? MARK_CODE : (unsigned char)text.ptr[0];
             len = len == 0 ? 1 : len;
             in_string = in_string != (text.ptr[0] == '"');
         }
@@ -188,6 +203,7 @@
         }
         BkBuf_Append(out, sound);
         BkBuf_Append(out, MARK);
+        BkBuf_Printf(out, "%0*lx", CODE_LEN, code);
         sound = (BkStr){text.ptr, 0};
     }
     BkBuf_Append(out, sound);
@@ -217,3 +233,27 @@
 
     return text != NULL && strstr(text, MARK.ptr) != NULL;
 }
+
+void
+BkUtf8_AppendBound(BkBuf *out, const json_t *string, bool repaired)
+{
+    BkStr text = {json_string_value(string), json_string_length(string)};
+    const char *mark;
+
+    while (repaired && (mark = strstr(text.ptr, MARK.ptr)) != NULL) {
+        char digits[CODE_LEN + 1] = {0};
+        const char *end = mark + MARK.len + CODE_LEN;
+        memcpy(digits, mark + MARK.len, CODE_LEN);
+        long code = strtol(digits, NULL, HEX);
+        char byte = (char)code;
+        BkBuf_Append(out, (BkStr){text.ptr, (size_t)(mark - text.ptr)});
+        if (is_surrogate(code, FIRST_SURROGATE) ||
+            is_surrogate(code, FIRST_LOW_SURROGATE)) {
+            BkBuf_Append(out, AFTER_SURROGATES);
+            return;
+        }
+        BkBuf_Append(out, code == MARK_CODE ? MARK : (BkStr){&byte, 1});
+        text = (BkStr){end, text.len - (size_t)(end - text.ptr)};
+    }
+    BkBuf_Append(out, text);
+}
--- a/src/front/election.c
+++ b/src/front/election.c
@@ -285,7 +285,7 @@
     }
     switch (BkLease_NextAction(&planner->lease, now)) {
     case BK_LEASE_READ:
-        BkStore_ReadRows(planner->front->store, table, NULL,
+        BkStore_ReadRows(planner->front->store, table, BK_STR(""),
                          (BkStoreTimeouts){.total = begin_call(planner)},
                          on_rows_read, planner);
         break;
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -152,7 +152,7 @@
         return;
     }
     if (peers->row_written) {
-        BkStore_ReadRows(peers->front->store, table, NULL,
+        BkStore_ReadRows(peers->front->store, table, BK_STR(""),
                          (BkStoreTimeouts){.total = begin_call(peers)},
                          on_list, peers);
     }
--- a/src/front/quarantine_rows.c
+++ b/src/front/quarantine_rows.c
@@ -231,7 +231,7 @@
             return;
         }
         quarantine->call_active = true;
-        BkStore_ReadRows(front->store, table, NULL,
+        BkStore_ReadRows(front->store, table, BK_STR(""),
                          (BkStoreTimeouts){.total = CALL_TIMEOUT}, on_rows,
                          quarantine);
         return;
--- a/src/front/sync.c
+++ b/src/front/sync.c
@@ -247,24 +247,14 @@
     return false;
 }
 
-/* Whether the part ends with the key that it was asked to begin with, though
-   more follow. */
-static bool
-repeats_key(const FrTableSync *table, const BkStoreReply *reply)
-{
-    return table->reading_list && reply->has_more && reply->count > 0 &&
-           BkStr_Equal(reply->rows[reply->count - 1].key,
-                       BkStr_FromC(table->next_key));
-}
-
 /* Returns false if the part leads no further. */
 static bool
 handle_list_part(FrTableSync *table, const BkStoreReply *reply, BkMs now)
 {
     FrFront *front = table->sync->front;
 
-    if (reply->version < table->version || repeats_key(table, reply)) {
-        return false; /* older than what is already applied, or known */
+    if (reply->version < table->version) {
+        return false; /* older than what is already applied */
     }
     if (!table->reading_list) {
         table->list_version = reply->version;
@@ -273,11 +263,10 @@
         BkFleet_BeginList(&front->fleet);
     }
     FrSync_ApplyRows(table, reply, now);
-    table->reading_list = reply->has_more && reply->count > 0;
+    table->reading_list = reply->has_more;
     if (table->reading_list) {
-        /* the next part starts with the last key of this one */
-        free(table->next_key);
-        table->next_key = BkStr_Dup(reply->rows[reply->count - 1].key);
+        BkBuf_Clear(&table->next_key);
+        BkBuf_Append(&table->next_key, reply->next_key);
         return true;
     }
     if (table->id == FR_TABLE_REPORTS) {
@@ -465,8 +454,9 @@
     }
     else {
         BkStore_ReadRows(store, table->name,
-                         table->reading_list ? table->next_key : NULL, limit,
-                         on_reply, call);
+                         table->reading_list ? BkBuf_Str(&table->next_key)
+                                             : BK_STR(""),
+                         limit, on_reply, call);
     }
 }
 
@@ -499,7 +489,7 @@
     }
     for (int i = 0; i < FR_TABLE_COUNT; i++) {
         BkTimer_Destroy(sync->tables[i].timer);
-        free(sync->tables[i].next_key);
+        BkBuf_Destroy(&sync->tables[i].next_key);
     }
     while (sync->calls != NULL) {
         remove_call(sync->calls);
--- a/src/front/sync.h
+++ b/src/front/sync.h
@@ -38,7 +38,7 @@
     bool call_active;      /* the last call has not ended */
     bool reading_list;     /* more parts of the list are to be read */
     uint64_t list_version; /* of the first part */
-    char *next_key;        /* first key of the next part */
+    BkBuf next_key;        /* first key of the next part */
     BkMs called_at;
     BkMs list_called_at; /* when the last list was begun */
     BkMs replied_at;     /* when the last call succeeded */
--- a/tests/fuzz/fuzz_utf8.c
+++ b/tests/fuzz/fuzz_utf8.c
@@ -1,6 +1,6 @@
 /* fuzzes texts of other programs on their way into JSON: every text becomes a
    string, the same one if jansson takes it as it is; and a list of rows is read
-   whatever bytes the key of one of them holds */
+   whatever bytes the key of one of them holds, and goes on after that key */
 #include <stdlib.h>
 #include <string.h>
 
@@ -42,6 +42,11 @@
         (!repaired && json_string_length(odd) != size)) {
         __builtin_trap();
     }
+    BkBuf_Clear(&text);
+    BkUtf8_AppendBound(&text, odd, repaired);
+    if (!BkStr_Equal(BkBuf_Str(&text), (BkStr){key, size})) {
+        __builtin_trap();
+    }
     json_decref(rows);
     BkBuf_Destroy(&text);
 }
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -33,10 +33,10 @@
         store.put(table, name, value)
 
 
-def name_entries(prefixes, count):
-    return ["%s%04d%s" % (prefix, n, text) for n, prefix, text in
+def name_entries(prefixes, count, suffixes=SUFFIXES):
+    return ["%s%04d%s" % (prefix, n, suffix) for n, prefix, suffix in
             zip(range(count), itertools.cycle(prefixes),
-                itertools.cycle(SUFFIXES))]
+                itertools.cycle(suffixes))]
 
 
 def start(world):
@@ -64,10 +64,10 @@
     check_served(fleet, loads, back, RECOVER_S)
 
 
-def check_entries(world, prefixes, count, page=500):
+def check_entries(world, prefixes, count, page=500, suffixes=SUFFIXES):
     store, fleet = start(world)
     store.list_rows = page
-    write_entries(store, "servers", name_entries(prefixes, count))
+    write_entries(store, "servers", name_entries(prefixes, count, suffixes))
     check_restart(fleet)
 
 
@@ -94,3 +94,23 @@
     """Each entry ends a page."""
     check_entries(world, ["!", *["e-%d" % n for n in range(ENGINES)], "z"], 60,
                   page=2)
+
+
+@case
+def names_with_nul(world):
+    """Whole pages hold no name that a JSON library returns."""
+    check_entries(world, ["!", "e-0"], LONG_LIST, suffixes=["\x00", "\x00x"])
+
+
+@case
+def names_with_lone_surrogates(world):
+    """Nor one that a URL can hold."""
+    check_entries(world, ["!", "e-0"], LONG_LIST,
+                  suffixes=["\ud800", "\udfff", "\udc80x"])
+
+
+@case
+def unreadable_names_in_small_pages(world):
+    """Each of them ends a page."""
+    check_entries(world, ["!", *["e-%d" % n for n in range(ENGINES)], "z"], 60,
+                  page=2, suffixes=["\x00", "\ud800", "\ufdd0\ud800"])
--- a/tests/unit/test_utf8.c
+++ b/tests/unit/test_utf8.c
@@ -70,10 +70,54 @@
 }
 END_TEST
 
+#define AFTER_SURROGATES "\xee\x80\x80"
+#define NONCHARACTER "\xef\xb7\x90" /* U+FDD0 */
+
+typedef struct Bound {
+    const char *json;
+    BkStr expected;
+} Bound;
+
+/* Where a list goes on after a key: at the key itself, or after all keys that
+   begin like it and then hold a single surrogate. */
+START_TEST(test_bounds)
+{
+    static const Bound bounds[] = {
+        {"a b&c", BK_STR("a b&c")},
+        {"a\\\\u0000", BK_STR("a\\u0000")},
+        {"\\u0000", BK_STR("\0")},
+        {"a\\u0000b\\u0000", BK_STR("a\0b\0")},
+        {"\xff z\xe2\x82", BK_STR("\xff z\xe2\x82")},
+        {"line\nend", BK_STR("line\nend")},
+        {"\\ud800", BK_STR(AFTER_SURROGATES)},
+        {"a\\udfffb", BK_STR("a" AFTER_SURROGATES)},
+        {"\\u0000\\ud800\\u0000", BK_STR("\0" AFTER_SURROGATES)},
+        {"\\ud83d\\ude00\\ud83d", BK_STR("\xf0\x9f\x98\x80" AFTER_SURROGATES)},
+        {NONCHARACTER "d800", BK_STR(NONCHARACTER "d800")},
+        {NONCHARACTER "d800\\u0000", BK_STR(NONCHARACTER "d800\0")},
+        {"\\ufdd0\\u0000", BK_STR(NONCHARACTER "\0")},
+    };
+
+    for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+        BkBuf text = BkBuf_Make(0);
+        bool repaired;
+        BkBuf_Printf(&text, "[\"%s\"]", bounds[i].json);
+        json_t *list = BkUtf8_LoadJson(BkBuf_Str(&text), &repaired);
+        BkBuf_Clear(&text);
+        BkUtf8_AppendBound(&text, json_array_get(list, 0), repaired);
+        ck_assert_msg(BkStr_Equal(BkBuf_Str(&text), bounds[i].expected), "%s",
+                      bounds[i].json);
+        json_decref(list);
+        BkBuf_Destroy(&text);
+    }
+}
+END_TEST
+
 int
 main(void)
 {
-    const TTest *const tests[] = {test_odd_strings_in_json, test_other_json};
+    const TTest *const tests[] = {test_odd_strings_in_json, test_other_json,
+                                  test_bounds};
 
-    return BkUnit_Main("utf8", tests, 2);
+    return BkUnit_Main("utf8", tests, 3);
 }
