planner: find the rows of the lease among those of other writers

What callers saw: no request for a model was served after daemons and engines had been restarted, while the planner's table had more than a page of another writer's entries before the rows of the lease, or between them.

Cause: only the first page of the table was read. The rows "beat" and "term" behind it counted as missing, so every claim expected rows that do not exist and was refused (412), without end. There was no planner, and no model was loaded.

Change: the list starts at "beat", and a second call starts at "term" if the first page ends before it. That is one call as before in a table without such entries, and two however many there are. The rows of the two calls may be of different moments; a claim checks both of their versions, as before. If the era changed in between, the read counts as failed and is repeated.

--- a/src/front/election.c
+++ b/src/front/election.c
@@ -34,6 +34,11 @@
 
 static const char table[] = "planner";
 
+/* Rows of other writers may be between these two; the table lists "beat"
+   first. */
+static const char beat_key[] = "beat";
+static const char term_key[] = "term";
+
 void
 FrElection_Init(FrPlanner *planner)
 {
@@ -84,42 +89,81 @@
     FrPatience_End(&planner->patience, answered, now);
 }
 
+static void
+decode_beat(FrPlanner *planner, const BkStoreRow *row)
+{
+    json_t *beat = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+
+    planner->rows.beat_version = row->version;
+    planner->rows.beat_era = get_uint(beat, "era");
+    planner->released_term = json_is_true(json_object_get(beat, "released"))
+                                 ? get_uint(beat, "term")
+                                 : 0;
+    json_decref(beat);
+}
+
+/* row: NULL if there is none */
+static void
+apply_rows(FrPlanner *planner, const BkStoreRow *row)
+{
+    BkLeaseRows *rows = &planner->rows;
+    json_t *term = NULL;
+
+    if (row != NULL) {
+        term = json_loadb(row->value.ptr, row->value.len, 0, NULL);
+        rows->term_version = row->version;
+    }
+    const char *holder = json_string_value(json_object_get(term, "holder"));
+    rows->term = get_uint(term, "term");
+    rows->epoch = get_uint(term, "epoch");
+    rows->holder = holder == NULL ? "" : holder;
+    rows->term_era = get_uint(term, "era");
+    rows->resigned =
+        planner->released_term != 0 && planner->released_term == rows->term;
+    BkLease_OnRowsRead(&planner->lease, rows, BkClock_Now());
+    rows->holder = "";
+    json_decref(term);
+}
+
+static void on_rows_read(const BkStoreReply *reply, void *arg);
+
+static void
+read_rows(FrPlanner *planner, const char *first_key)
+{
+    BkStore_ReadRows(planner->front->store, table, BkStr_FromC(first_key),
+                     (BkStoreTimeouts){.total = begin_call(planner)},
+                     on_rows_read, planner);
+}
+
 static void
 on_rows_read(const BkStoreReply *reply, void *arg)
 {
     FrPlanner *planner = arg;
-    BkLeaseRows rows = {.holder = ""};
-    json_t *term = NULL;
-    json_t *beat = NULL;
+    BkLeaseRows *rows = &planner->rows;
+    const BkStoreRow *term_row = NULL;
 
     end_call(planner, "read", reply);
-    if (reply->status != BK_OK) {
+    if (reply->status != BK_OK ||
+        (rows->era != 0 && rows->era != reply->era)) {
         BkLease_OnFailed(&planner->lease, BkClock_Now());
         return;
     }
+    rows->era = reply->era;
     for (int i = 0; i < reply->count; i++) {
         const BkStoreRow *row = &reply->rows[i];
-        if (BkStr_Equal(row->key, BK_STR("term"))) {
-            term = json_loadb(row->value.ptr, row->value.len, 0, NULL);
-            rows.term_version = row->version;
+        if (BkStr_Equal(row->key, BkStr_FromC(term_key))) {
+            term_row = row;
         }
-        else if (BkStr_Equal(row->key, BK_STR("beat"))) {
-            beat = json_loadb(row->value.ptr, row->value.len, 0, NULL);
-            rows.beat_version = row->version;
+        else if (BkStr_Equal(row->key, BkStr_FromC(beat_key))) {
+            decode_beat(planner, row);
         }
     }
-    const char *holder = json_string_value(json_object_get(term, "holder"));
-    rows.term = get_uint(term, "term");
-    rows.epoch = get_uint(term, "epoch");
-    rows.holder = holder == NULL ? "" : holder;
-    rows.era = reply->era;
-    rows.term_era = get_uint(term, "era");
-    rows.beat_era = get_uint(beat, "era");
-    rows.resigned = json_is_true(json_object_get(beat, "released")) &&
-                    get_uint(beat, "term") == rows.term;
-    BkLease_OnRowsRead(&planner->lease, &rows, BkClock_Now());
-    json_decref(term);
-    json_decref(beat);
+    if (reply->has_more &&
+        BkStr_Compare(reply->next_key, BkStr_FromC(term_key)) < 0) {
+        read_rows(planner, term_key);
+        return;
+    }
+    apply_rows(planner, term_row);
 }
 
 static char *
@@ -169,12 +213,12 @@
                   "era", (json_int_t)lease->era);
     char *term = json_dumps(root, JSON_COMPACT);
     char *beat = encode_heartbeat(planner, next_term, false);
-    BkStoreOp ops[] = {{.key = "term",
+    BkStoreOp ops[] = {{.key = term_key,
                         .version = lease->term_version,
                         .check_version = true,
                         .put = true,
                         .value = BkStr_FromC(term)},
-                       {.key = "beat",
+                       {.key = beat_key,
                         .version = lease->beat_version,
                         .check_version = true,
                         .put = true,
@@ -226,8 +270,10 @@
     const BkLease *lease = &planner->lease;
     char *beat = encode_heartbeat(planner, lease->term, released);
     BkStoreOp ops[] = {
-        {.key = "term", .version = lease->term_version, .check_version = true},
-        {.key = "beat", .put = true, .value = BkStr_FromC(beat)}};
+        {.key = term_key,
+         .version = lease->term_version,
+         .check_version = true},
+        {.key = beat_key, .put = true, .value = BkStr_FromC(beat)}};
 
     planner->heartbeat_count++;
     BkStore_Commit(planner->front->store, table, ops, 2, begin_call(planner),
@@ -285,9 +331,9 @@
     }
     switch (BkLease_NextAction(&planner->lease, now)) {
     case BK_LEASE_READ:
-        BkStore_ReadRows(planner->front->store, table, BK_STR(""),
-                         (BkStoreTimeouts){.total = begin_call(planner)},
-                         on_rows_read, planner);
+        planner->rows = (BkLeaseRows){.holder = ""};
+        planner->released_term = 0;
+        read_rows(planner, beat_key);
         break;
     case BK_LEASE_CLAIM:
         claim_lease(planner);
--- a/src/front/planner.h
+++ b/src/front/planner.h
@@ -140,6 +140,8 @@
     FrFront *front;
     BkTimer *timer;
     BkLease lease;
+    BkLeaseRows rows;         /* as read so far; without the holder */
+    uint64_t released_term;   /* by the row "beat" of these; 0: none */
     FrPatience patience;      /* with the calls of the lease */
     uint64_t heartbeat_count; /* written to the lease's row at each renewal */
     bool lease_released;      /* the daemon is stopping; no more claims */
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -40,15 +40,17 @@
 
 
 def start(world):
-    """Returns the store, and the fleet once its daemons know each other."""
+    """Returns the store, the engines, and the fleet once its daemons know each
+    other."""
     store = Store()
     configure_engines(store, loadsPerS=10)
-    for n in range(ENGINES):
-        Replica(store, "e-%d" % n, "llm", 64,
-                models={MODELS[n % 3]: set(), MODELS[(n + 1) % 3]: set()})
+    engines = [Replica(store, "e-%d" % n, "llm", 64,
+                       models={MODELS[n % 3]: set(),
+                               MODELS[(n + 1) % 3]: set()})
+               for n in range(ENGINES)]
     fleet = Fleet(world, store, FRONTS)
     await_contact(fleet)
-    return store, fleet
+    return store, engines, fleet
 
 
 def check_restart(fleet):
@@ -65,7 +67,7 @@
 
 
 def check_entries(world, prefixes, count, page=500, suffixes=SUFFIXES):
-    store, fleet = start(world)
+    store, _, fleet = start(world)
     store.list_rows = page
     write_entries(store, "servers", name_entries(prefixes, count, suffixes))
     check_restart(fleet)
@@ -114,3 +116,25 @@
     """Each of them ends a page."""
     check_entries(world, ["!", *["e-%d" % n for n in range(ENGINES)], "z"], 60,
                   page=2, suffixes=["\x00", "\ud800", "\ufdd0\ud800"])
+
+
+def check_own_table(world, table, prefixes):
+    """The engines restart too, without models."""
+    store, engines, fleet = start(world)
+    write_entries(store, table, name_entries(prefixes, LONG_LIST))
+    for engine in engines:
+        engine.crash()
+        engine.start_again()
+    check_restart(fleet)
+
+
+@case
+def foreign_entries_before_the_lease(world):
+    """The planner's rows are not on the first page of their table."""
+    check_own_table(world, "planner", ["!"])
+
+
+@case
+def foreign_entries_between_rows_of_the_lease(world):
+    """The planner's two rows are on different pages."""
+    check_own_table(world, "planner", ["c"])
