quarantine: read all pages of the verdicts

What callers saw: nothing yet; found by looking for the cause of the incident in the other lists. After a restart of all daemons, verdicts behind the first page of their table were not known, so the requests that they hold back crashed upstreams again.

Cause: only the first page was read (500 rows or 1 MB), whoever had written its rows.

Change: the list continues until it ends, a page in each round; after a failure it is repeated from the page that failed.

--- a/src/front/quarantine.c
+++ b/src/front/quarantine.c
@@ -572,5 +572,6 @@
     BkWell_Destroy(&quarantine->well);
     BkTally_Destroy(&quarantine->tally);
     BkShare_Destroy(&quarantine->share);
+    BkBuf_Destroy(&quarantine->next_key);
     free(quarantine);
 }
--- a/src/front/quarantine.h
+++ b/src/front/quarantine.h
@@ -48,6 +48,7 @@
     BkTimer *objection_timer;
     /* the table of the store (quarantine_rows.c) */
     bool rows_read;
+    BkBuf next_key; /* where its list continues; empty: at the first row */
     BkMs next_call_at;
     bool call_active;
     BkTrait unwritten[BK_VERDICTS_MAX]; /* rows to be written */
--- a/src/front/quarantine_rows.c
+++ b/src/front/quarantine_rows.c
@@ -100,7 +100,9 @@
         quarantine->next_call_at = now + RETRY_DELAY;
         return;
     }
-    quarantine->rows_read = true;
+    quarantine->rows_read = !reply->has_more;
+    BkBuf_Clear(&quarantine->next_key);
+    BkBuf_Append(&quarantine->next_key, reply->next_key);
     for (int i = 0; i < reply->count; i++) {
         BkVerdict verdict;
         if (!parse_row(&reply->rows[i], &verdict)) {
@@ -231,7 +233,7 @@
             return;
         }
         quarantine->call_active = true;
-        BkStore_ReadRows(front->store, table, BK_STR(""),
+        BkStore_ReadRows(front->store, table, BkBuf_Str(&quarantine->next_key),
                          (BkStoreTimeouts){.total = CALL_TIMEOUT}, on_rows,
                          quarantine);
         return;
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -5,8 +5,9 @@
 import itertools
 import time
 
-from basics import case
-from case_front_crashes import Fleet, Load
+from basics import case, wait
+from case_front_crashes import Fleet, Load, ask_with_parts, bad_parts, \
+    holds_bad_part, start as start_crashing
 from case_front_return import MODELS, RECOVER_S, SOUND_PARTS, ask_stream, \
     await_contact, check_served, configure_engines
 from platform_standins import Replica, Store
@@ -53,13 +54,17 @@
     return store, engines, fleet
 
 
-def check_restart(fleet):
-    """All daemons are killed at once and restarted: requests are served in
-    time."""
+def restart_all(fleet):
+    """All daemons are killed at once and restarted."""
     for n in range(FRONTS):
         fleet.kill(n)
     for n in range(FRONTS):
         fleet.add(n)
+
+
+def check_restart(fleet):
+    """Requests are served in time after all daemons were restarted."""
+    restart_all(fleet)
     back = time.monotonic()
     loads = [Load(fleet, ask_stream(model, SOUND_PARTS), PAUSE_S)
              for model in MODELS]
@@ -138,3 +143,19 @@
 def foreign_entries_between_rows_of_the_lease(world):
     """The planner's two rows are on different pages."""
     check_own_table(world, "planner", ["c"])
+
+
+@case
+def foreign_entries_before_the_verdicts(world):
+    """The rows of verdicts are not on the first page of their table."""
+    _, fleet = start_crashing(world, FRONTS, holds_bad_part)
+    bad = Load(fleet, ask_with_parts(bad_parts), PAUSE_S)
+    wait("a verdict", lambda: fleet.events("verdict"))
+    wait("its row", lambda: any(
+        table == "quarantine" for table, _ in list(fleet.store.rows)))
+    bad.stop()
+    write_entries(fleet.store, "quarantine", name_entries(["!"], LONG_LIST))
+    restart_all(fleet)
+    wait("all have read the verdict", lambda: all(any(
+        x["source"] == "the store" for x in front.events("verdict"))
+        for front in fleet.fronts), RECOVER_S)
