members: read all pages of the table

After a restart of all daemons beside another writer's entries, daemons whose rows were behind the first page were not known to the others: each counted requests, retries and loads by itself alone. By reading, not by a run: the same holds for a fleet of more than 500 daemons.

Cause: only the first page was read (500 rows or 1 MB).

Change: the list continues until it ends, and is repeated from the page that failed. What follows from a whole list (the next read, the log line, the role of a reader) waits for its end.

--- a/src/front/members.c
+++ b/src/front/members.c
@@ -53,7 +53,7 @@
                           BkRng_Below(&peers->front->rng, RETRY_DELAY);
 }
 
-/* time to the next read; added: number of new peers in the last one */
+/* time to the next read; added: number of new peers in the last list */
 static BkMs
 choose_interval(FrPeers *peers, int added)
 {
@@ -70,11 +70,23 @@
     return peers->read_interval;
 }
 
+static void on_list(const BkStoreReply *reply, void *arg);
+
+static void
+read_list(FrPeers *peers)
+{
+    if (peers->next_key.len == 0) {
+        peers->known_before_list = peers->count;
+    }
+    BkStore_ReadRows(peers->front->store, table, BkBuf_Str(&peers->next_key),
+                     (BkStoreTimeouts){.total = begin_call(peers)}, on_list,
+                     peers);
+}
+
 static void
 on_list(const BkStoreReply *reply, void *arg)
 {
     FrPeers *peers = arg;
-    int known = peers->count;
 
     end_call(peers, reply);
     if (reply->status != BK_OK) {
@@ -90,13 +102,20 @@
             FrPeers_Add(peers, row->key, address, domain);
         }
     }
+    BkBuf_Clear(&peers->next_key);
+    if (reply->has_more) {
+        BkBuf_Append(&peers->next_key, reply->next_key);
+        read_list(peers);
+        return;
+    }
     if (!peers->listed) {
         peers->listed = true;
         BkLog_Event(BK_LOG_INFO, "peers", NULL, "members listed", "s:i",
                     "daemons", FrPeers_Count(peers));
     }
     peers->next_call_at =
-        BkClock_Now() + choose_interval(peers, peers->count - known);
+        BkClock_Now() +
+        choose_interval(peers, peers->count - peers->known_before_list);
     FrSync_AllowReader(peers->front->sync, BkClock_Now());
 }
 
@@ -152,9 +171,7 @@
         return;
     }
     if (peers->row_written) {
-        BkStore_ReadRows(peers->front->store, table, BK_STR(""),
-                         (BkStoreTimeouts){.total = begin_call(peers)},
-                         on_list, peers);
+        read_list(peers);
     }
     else {
         BkBuf value = BkBuf_Make(0);
--- a/src/front/peers.c
+++ b/src/front/peers.c
@@ -669,6 +669,7 @@
     }
     free(peers->list);
     BkRoster_Destroy(&peers->roster);
+    BkBuf_Destroy(&peers->next_key);
     BkTimer_Destroy(peers->timer);
     BkDatagramSocket_Destroy(peers->sock);
     free(peers);
--- a/src/front/peers.h
+++ b/src/front/peers.h
@@ -71,7 +71,9 @@
     bool call_active;
     FrPatience patience; /* with the calls of the members table */
     BkMs read_interval;  /* between reads, while peers are missing */
-    bool listed;         /* the table was read */
+    BkBuf next_key; /* where its list continues; empty: at the first row */
+    int known_before_list; /* peers when the list was begun */
+    bool listed;           /* the table was read */
     /* The planner, if it is another daemon: */
     char planner_name[BKP_MAX_NAME + 1]; /* "": none is known */
     uint64_t term; /* newest known, also of this daemon */
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -10,6 +10,7 @@
     holds_bad_part, start as start_crashing
 from case_front_return import MODELS, RECOVER_S, SOUND_PARTS, ask_stream, \
     await_contact, check_served, configure_engines
+from case_front_state import log_seconds
 from platform_standins import Replica, Store
 
 FRONTS = 8
@@ -55,11 +56,18 @@
 
 
 def restart_all(fleet):
-    """All daemons are killed at once and restarted."""
+    """All daemons are killed at once and restarted; returns the time."""
     for n in range(FRONTS):
         fleet.kill(n)
+    killed_at = time.time()
     for n in range(FRONTS):
         fleet.add(n)
+    return killed_at
+
+
+def events_since(front, name, since):
+    """Those of the process that was started then; the log has earlier ones."""
+    return [x for x in front.events(name) if log_seconds(x["at"]) >= since]
 
 
 def check_restart(fleet):
@@ -159,3 +167,15 @@
     wait("all have read the verdict", lambda: all(any(
         x["source"] == "the store" for x in front.events("verdict"))
         for front in fleet.fronts), RECOVER_S)
+
+
+@case
+def foreign_entries_before_the_members(world):
+    """Daemons that return know each other by rows on later pages."""
+    store, _, fleet = start(world)
+    write_entries(store, "members", name_entries(["!"], LONG_LIST))
+    restarted_at = restart_all(fleet)
+    wait("the daemons hear each other", lambda: all(
+        len({x["name"] for x in events_since(front, "peer heard",
+                                             restarted_at)}) == FRONTS - 1
+        for front in fleet.fronts), RECOVER_S)
