members: ignore rows that name no daemon

Entries of another writer in the table of members counted as daemons. The retry budget and the limits of upstreams are divided by the number of daemons, so each daemon would use a small part of its share only.

Cause: any text before the first blank of a row was taken for an address.

Change: a row without a name or without an address that messages can be sent to is ignored, with one line in the log for each page. Gossip names only daemons that were heard, so such rows spread no other way.

--- a/include/bk/net/datagram.h
+++ b/include/bk/net/datagram.h
@@ -47,6 +47,9 @@
 BkStatus BkDatagram_Send(BkDatagramSocket *sock, const char *to,
                          rpcproc_t proc, const void *message);
 
+/* Whether a message can be sent to this address. */
+bool BkDatagram_IsAddress(const char *to);
+
 /* Bytes of all messages sent so far. */
 int64_t BkDatagram_SentBytes(const BkDatagramSocket *sock);
 
--- a/src/front/members.c
+++ b/src/front/members.c
@@ -1,6 +1,8 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "bk/base/log.h"
+#include "bk/net/datagram.h"
 #include "peers.h"
 #include "sync.h"
 
@@ -83,6 +85,43 @@
                      peers);
 }
 
+/* Returns false if another writer has left the row: it names no daemon. */
+static bool
+parse_row(const BkStoreRow *row, BkStr *address, BkStr *domain)
+{
+    char text[BKP_MAX_NAME + 1];
+
+    *domain = row->value;
+    *address = BkStr_Split(domain, ' ');
+    if (row->key.len == 0 || row->key.len > BKP_MAX_NAME ||
+        address->len > BKP_MAX_NAME || domain->len > BKP_MAX_NAME) {
+        return false;
+    }
+    snprintf(text, sizeof(text), "%.*s", BK_STR_ARG(*address));
+    return BkDatagram_IsAddress(text);
+}
+
+static void
+add_members(FrPeers *peers, const BkStoreReply *reply)
+{
+    int ignored = 0;
+
+    for (int i = 0; i < reply->count; i++) {
+        BkStr address;
+        BkStr domain;
+        if (!parse_row(&reply->rows[i], &address, &domain)) {
+            ignored++;
+            continue;
+        }
+        FrPeers_Add(peers, reply->rows[i].key, address, domain);
+    }
+    if (ignored > 0) {
+        BkLog_Event(BK_LOG_WARNING, "peers", NULL,
+                    "rows of the members table name no daemon, ignored",
+                    "s:i, s:i", "rows", ignored, "of", reply->count);
+    }
+}
+
 static void
 on_list(const BkStoreReply *reply, void *arg)
 {
@@ -93,15 +132,7 @@
         schedule_retry(peers);
         return;
     }
-    for (int i = 0; i < reply->count; i++) {
-        const BkStoreRow *row = &reply->rows[i];
-        BkStr domain = row->value;
-        BkStr address = BkStr_Split(&domain, ' ');
-        if (row->key.len <= BKP_MAX_NAME && address.len <= BKP_MAX_NAME &&
-            domain.len <= BKP_MAX_NAME) {
-            FrPeers_Add(peers, row->key, address, domain);
-        }
-    }
+    add_members(peers, reply);
     BkBuf_Clear(&peers->next_key);
     if (reply->has_more) {
         BkBuf_Append(&peers->next_key, reply->next_key);
--- a/src/net/datagram.c
+++ b/src/net/datagram.c
@@ -223,6 +223,14 @@
     return BK_OK;
 }
 
+bool
+BkDatagram_IsAddress(const char *to)
+{
+    struct sockaddr_in addr;
+
+    return parse_addr(to, &addr) == BK_OK && addr.sin_port != 0;
+}
+
 int64_t
 BkDatagram_SentBytes(const BkDatagramSocket *sock)
 {
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -5,7 +5,7 @@
 import itertools
 import time
 
-from basics import case, wait
+from basics import case, check, wait
 from case_front_crashes import Fleet, Load, ask_with_parts, bad_parts, \
     holds_bad_part, start as start_crashing
 from case_front_return import MODELS, RECOVER_S, SOUND_PARTS, ask_stream, \
@@ -179,3 +179,20 @@
         len({x["name"] for x in events_since(front, "peer heard",
                                              restarted_at)}) == FRONTS - 1
         for front in fleet.fronts), RECOVER_S)
+
+
+@case
+def foreign_entries_are_no_members(world):
+    """Daemons share limits among those that there are."""
+    store, _, fleet = start(world)
+    names = name_entries(["!", "front-0", "z"], 60)
+    write_entries(store, "members", names)
+    for name in names[::2]:
+        store.put("members", name, (name + " a").encode())
+    restarted_at = restart_all(fleet)
+    listed = [wait("%s has listed the members" % front.name,
+                   lambda front=front: events_since(
+                       front, "members listed", restarted_at), RECOVER_S)
+              for front in fleet.fronts]
+    check([x[0]["daemons"] for x in listed] == [FRONTS] * FRONTS, "%s",
+          [x[0]["daemons"] for x in listed])
