platform: continue a list after its last key as it was sent

Change: the client tells it (BkPlatReply.last_key), whether or not the row can be read, as in the client of the table service. A page without rows that has more is still EDECODE. Since a list begins after the key that is given, a readable key is skipped if it is U+E000 after the same beginning as an unreadable one.

--- a/include/bk/platform/platform.h
+++ b/include/bk/platform/platform.h
@@ -80,8 +80,11 @@
     BkStatus status;
     const BkPlatRow *rows;
     int count;
-    bool has_more; /* the list has further rows after the last one */
-    BkStr body;    /* an object, or the VM list (JSON text) */
+    bool has_more; /* the list has further rows; last_key is set */
+    /* of this page, also if its row could not be read: pass it to
+       BkPlat_ListRows for the next page */
+    BkStr last_key;
+    BkStr body; /* an object, or the VM list (JSON text) */
 } BkPlatReply;
 
 typedef void (*BkPlatFn)(const BkPlatReply *reply, void *arg);
--- a/src/claim/sweep.c
+++ b/src/claim/sweep.c
@@ -20,7 +20,7 @@
     BkMs max_page_pause;
     BkTimer *timer;
     BkRng rng;
-    char after[BK_CLAIM_HEX_SIZE]; /* the next page starts after this key */
+    BkBuf after; /* the next page starts after this key */
     BkCounter *delete_txn_counter;
 };
 
@@ -61,20 +61,6 @@
     return txn;
 }
 
-static void
-advance_position(BkClaimSweep *sweep, const BkPlatReply *reply)
-{
-    const BkStr table_start = {NULL, 0};
-    BkStr last = table_start;
-
-    if (reply->has_more && reply->count > 0) {
-        last = reply->rows[reply->count - 1].key;
-    }
-    size_t len = last.len < sizeof(sweep->after) ? last.len : 0;
-    memcpy(sweep->after, len == 0 ? "" : last.ptr, len);
-    sweep->after[len] = '\0';
-}
-
 static void
 handle_page(const BkPlatReply *reply, void *arg)
 {
@@ -85,7 +71,10 @@
         return;
     }
     BkTxn *txn = make_delete_txn(sweep, reply);
-    advance_position(sweep, reply);
+    BkBuf_Clear(&sweep->after); /* after the last page, at the table's start */
+    if (reply->has_more) {
+        BkBuf_Append(&sweep->after, reply->last_key);
+    }
     if (txn->count == 0) {
         schedule_next_page(sweep);
     }
@@ -101,7 +90,7 @@
     BkClaimSweep *sweep = arg;
 
     BkPlat_ListRows(sweep->plat, CLAIM_TABLE, BK_STR(""),
-                    BkStr_FromC(sweep->after), SWEEP_PAGE_ROWS, handle_page,
+                    BkBuf_Str(&sweep->after), SWEEP_PAGE_ROWS, handle_page,
                     sweep);
 }
 
@@ -109,6 +98,7 @@
 BkClaimSweep_Create(BkLoop *loop, BkPlat *plat, BkMs retention)
 {
     BkClaimSweep *sweep = BkMem_New(1, sizeof(*sweep));
+    char first_key[BK_CLAIM_HEX_SIZE];
 
     sweep->plat = plat;
     sweep->retention = retention;
@@ -118,9 +108,10 @@
     sweep->delete_txn_counter = BkCounter_Get(
         "bk_claim_sweeps_total", NULL, "transactions that deleted old claims");
     /* A random key: each entry daemon starts its sweep at a different row. */
-    BkClaim_MakeNonce(sweep->after);
+    BkClaim_MakeNonce(first_key);
+    BkBuf_Append(&sweep->after, BkStr_FromC(first_key));
     sweep->rng =
-        BkRng_Make((uint64_t)BkClock_Now() ^ strtoull(sweep->after, NULL, 16));
+        BkRng_Make((uint64_t)BkClock_Now() ^ strtoull(first_key, NULL, 16));
     schedule_next_page(sweep);
     return sweep;
 }
@@ -130,6 +121,7 @@
 {
     if (sweep != NULL) {
         BkTimer_Destroy(sweep->timer);
+        BkBuf_Destroy(&sweep->after);
         free(sweep);
     }
 }
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -170,16 +170,37 @@
         }
         reply->count++;
     }
-    /* after which key a list goes on is not known if there is none */
-    return reply->count == 0 && count > 0 ? BK_EDECODE : BK_OK;
+    return BK_OK;
+}
+
+/* Returns false if the page has no row. */
+static bool
+find_last_key(const json_t *list, bool repaired, BkBuf *out)
+{
+    size_t count = json_array_size(list);
+
+    if (count == 0) {
+        return false;
+    }
+    BkUtf8_AppendBound(
+        out, json_object_get(json_array_get(list, count - 1), "k"), repaired);
+    return true;
 }
 
 static BkStatus
-decode_body(CallKind kind, json_t *root, bool repaired, BkPlatReply *reply)
+decode_body(CallKind kind, json_t *root, bool repaired, BkBuf *last_key,
+            BkPlatReply *reply)
 {
     if (kind != CALL_READ) {
+        json_t *list = json_object_get(root, "rows");
+        BkStatus status = decode_row_list(list, repaired, reply);
         reply->has_more = json_is_true(json_object_get(root, "more"));
-        return decode_row_list(json_object_get(root, "rows"), repaired, reply);
+        if (status == BK_OK && reply->has_more &&
+            !find_last_key(list, repaired, last_key)) {
+            status = BK_EDECODE;
+        }
+        reply->last_key = BkBuf_Str(last_key);
+        return status;
     }
     BkPlatRow *row = BkMem_New(1, sizeof(*row));
     reply->rows = row;
@@ -191,13 +212,14 @@
    rows' versions are not known: BK_EUNKNOWN. */
 static void
 decode_reply(CallKind kind, BkStr body, json_t *root, bool repaired,
-             BkPlatReply *reply)
+             BkBuf *last_key, BkPlatReply *reply)
 {
-    BkStatus status = decode_body(kind, root, repaired, reply);
+    BkStatus status = decode_body(kind, root, repaired, last_key, reply);
 
     if (status != BK_OK) {
         reply->status = is_write(kind) ? BK_EUNKNOWN : BK_EDECODE;
         reply->count = 0;
+        reply->has_more = false;
         BkErr_Set(reply->status,
                   "cannot decode the platform's response: "
                   "%.80s",
@@ -211,6 +233,7 @@
     PendingCall pending = *(PendingCall *)arg;
     BkPlatReply reply = {.status = call_status(pending.kind, result)};
     json_t *root = NULL;
+    BkBuf last_key = BkBuf_Make(0);
 
     pending.plat->stats.bytes_out += result->sent_bytes;
     pending.plat->stats.bytes_in += result->received_bytes;
@@ -223,7 +246,8 @@
         else if (pending.kind != CALL_PUT_OBJECT) {
             bool repaired;
             root = BkUtf8_LoadJson(body, &repaired);
-            decode_reply(pending.kind, body, root, repaired, &reply);
+            decode_reply(pending.kind, body, root, repaired, &last_key,
+                         &reply);
         }
     }
     else {
@@ -232,6 +256,7 @@
     }
     pending.fn(&reply, pending.arg);
     free((void *)reply.rows);
+    BkBuf_Destroy(&last_key);
     json_decref(root);
 }
 
--- a/src/steward/takeover.c
+++ b/src/steward/takeover.c
@@ -1,6 +1,4 @@
-#include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "bk/base/log.h"
 #include "bk/steward/steward.h"
@@ -12,18 +10,24 @@
 
 enum {
     PAGE_ROWS = 200,
-    KEY_BYTES = 256,
     RETRY_MS = 500
 };
 
 typedef struct Takeover {
     BkSteward *steward;
     uint64_t generation;
-    char last_key[KEY_BYTES]; /* of the page read last; "" before the first */
+    BkBuf last_key; /* of the page read last; empty before the first */
 } Takeover;
 
 static void read_page(Takeover *takeover);
 
+static void
+destroy_takeover(Takeover *takeover)
+{
+    BkBuf_Destroy(&takeover->last_key);
+    free(takeover);
+}
+
 void
 BkTakeover_AddEngines(BkSteward *steward)
 {
@@ -69,27 +73,27 @@
     BkSteward *steward = takeover->steward;
 
     if (steward->generation != takeover->generation) {
-        free(takeover);
+        destroy_takeover(takeover);
         return;
     }
     if (reply->status != BK_OK) {
         /* the election step retries while the lease is valid */
         steward->taking_over = false;
         steward->next_takeover_at = BkClock_Now() + RETRY_MS;
-        free(takeover);
+        destroy_takeover(takeover);
         return;
     }
     for (int i = 0; i < reply->count; i++) {
         BkEngine *engine = BkEngine_FindOrAdd(steward, reply->rows[i].key);
         BkEngine_ApplyRow(engine, &reply->rows[i]);
     }
-    if (!reply->has_more || reply->count == 0) {
-        free(takeover);
+    if (!reply->has_more) {
+        destroy_takeover(takeover);
         finish_takeover(steward);
         return;
     }
-    snprintf(takeover->last_key, sizeof(takeover->last_key), "%.*s",
-             BK_STR_ARG(reply->rows[reply->count - 1].key));
+    BkBuf_Clear(&takeover->last_key);
+    BkBuf_Append(&takeover->last_key, reply->last_key);
     read_page(takeover);
 }
 
@@ -97,7 +101,7 @@
 read_page(Takeover *takeover)
 {
     BkPlat_ListRows(takeover->steward->daemon->plat, BK_STR("ledger"),
-                    BK_STR(""), BkStr_FromC(takeover->last_key), PAGE_ROWS,
+                    BK_STR(""), BkBuf_Str(&takeover->last_key), PAGE_ROWS,
                     on_page_read, takeover);
 }
 
--- /dev/null
+++ b/tests/proof/case_foreign_entries.py
@@ -0,0 +1,61 @@
+"""Entries that another writer leaves in the tables of bk-entry and bk-steward.
+The daemons are restarted while the entries are there: they are ignored, and
+the other entries are used.
+"""
+import json
+
+from basics import case, check, request, wait
+from case_front_foreign_entries import name_entries
+from planner import await_rolled, set_versions, stewards
+
+VALUES = ["", "{}", "text", "[]", '{"term": "x"}']
+MAX_PUTS = 100  # in one transaction
+
+
+def write_entries(world, table, names):
+    puts = [{"t": table, "k": name, "d": VALUES[n % len(VALUES)]}
+            for n, name in enumerate(names)]
+    for start in range(0, len(puts), MAX_PUTS):
+        status = request(world.platform.addr, "POST", "/v1/txn", json.dumps(
+            {"checks": [], "puts": puts[start:start + MAX_PUTS],
+             "dels": []}))[0]
+        check(status == 200, "status %d", status)
+
+
+def start(world):
+    """Two models in force at two engines; returns the stewards."""
+    for n in range(2):
+        world.engine("engine-%d" % n, load_ms=50)
+    set_versions(world, 1, ["care", "trace"], copies=1)
+    world.roll()
+    daemons = stewards(world)
+    await_rolled(world)
+    return daemons
+
+
+def check_restart(world, daemons):
+    """The stewards are killed at once and restarted: one of them becomes the
+    planner and rolls the next version."""
+    for daemon in daemons:
+        daemon.kill()
+    for daemon in daemons:
+        world.restart(daemon)
+    set_versions(world, 2, ["care", "trace"], copies=1)
+    world.roll()
+    await_rolled(world)
+
+
+@case
+def foreign_entries_in_the_ledger(world):
+    """They fill several pages of 200."""
+    daemons = start(world)
+    write_entries(world, "ledger", name_entries(["!", "engine-0", "z"], 900))
+    check_restart(world, daemons)
+
+
+@case
+def long_names_in_the_ledger(world):
+    """A page has names of which only the last bytes differ."""
+    daemons = start(world)
+    write_entries(world, "ledger", name_entries(["!" + "k" * 900], 900))
+    check_restart(world, daemons)
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -59,8 +59,11 @@
                      (unsigned long long)row->version, (long long)row->age,
                      BK_STR_ARG(row->data));
     }
-    BkBuf_Printf(fixture->out, "%s%.*s\n", reply->has_more ? " more" : "",
-                 BK_STR_ARG(reply->body));
+    if (reply->has_more) {
+        BkBuf_Printf(fixture->out, " more after ");
+        BkBuf_AppendUrlPart(fixture->out, reply->last_key);
+    }
+    BkBuf_Printf(fixture->out, "%.*s\n", BK_STR_ARG(reply->body));
     fixture->reply_count++;
 }
 
