steward: find the rows of the lease among those of other writers

With 16 entries of another writer before the planner's rows, a restart of all stewards left no planner, and no version was rolled.

Cause: 16 rows of the table were read and the others counted as missing, so that every claim was refused.

Change: the list continues until it has passed the row "term", in pages of 500. That is one call as before in a table without such entries.

The proofs read the planner's rows one by one (World.row): the list that they used is one page too.

--- a/include/bk/steward/steward.h
+++ b/include/bk/steward/steward.h
@@ -121,6 +121,8 @@
     BkDaemon *daemon;
     BkTimer *timer;
     BkLease lease;
+    BkLeaseRows rows;       /* as read so far; without the holder */
+    uint64_t released_term; /* by the row "beat" of these; 0: none */
     /* the daemon's planner_seen_at that was last passed to the lease */
     BkMs last_planner_seen_at;
     const char *claim_reason;    /* for the audit trail */
--- a/src/steward/election.c
+++ b/src/steward/election.c
@@ -9,7 +9,7 @@
 /* Carries out the actions that the lease returns, on the table "planner". */
 
 enum {
-    MAX_PLANNER_ROWS = 16
+    PAGE_ROWS = 500
 };
 
 static void
@@ -46,13 +46,58 @@
     return text == NULL ? "" : text;
 }
 
+static void
+decode_beat(BkSteward *steward, const BkPlatRow *row)
+{
+    json_t *beat = json_loadb(row->data.ptr, row->data.len, 0, NULL);
+
+    steward->rows.beat_version = row->version;
+    steward->released_term =
+        beat != NULL && get_text(beat, "holder")[0] == '\0'
+            ? get_uint(beat, "term")
+            : 0;
+    json_decref(beat);
+}
+
+/* row: NULL if there is none */
+static void
+apply_rows(BkSteward *steward, const BkPlatRow *row)
+{
+    BkLeaseRows *rows = &steward->rows;
+    json_t *term = NULL;
+
+    if (row != NULL) {
+        term = json_loadb(row->data.ptr, row->data.len, 0, NULL);
+        rows->term_version = row->version;
+    }
+    rows->term = get_uint(term, "term");
+    rows->epoch = get_uint(term, "epoch");
+    rows->holder = get_text(term, "holder");
+    rows->resigned =
+        steward->released_term != 0 && steward->released_term == rows->term;
+    steward->claim_reason = rows->term == 0 ? "there was no planner yet"
+                            : rows->resigned
+                                ? "the planner gave its term up"
+                                : "the planner's lease had lapsed";
+    BkLease_OnRowsRead(&steward->lease, rows, BkClock_Now());
+    rows->holder = "";
+    json_decref(term);
+}
+
+static void on_rows_read(const BkPlatReply *reply, void *arg);
+
+static void
+read_page(BkSteward *steward, BkStr after_key)
+{
+    BkPlat_ListRows(steward->daemon->plat, BK_STR("planner"), BK_STR(""),
+                    after_key, PAGE_ROWS, on_rows_read, steward);
+}
+
 static void
 on_rows_read(const BkPlatReply *reply, void *arg)
 {
     BkSteward *steward = arg;
-    BkLeaseRows rows = {.holder = ""};
-    json_t *term = NULL;
-    json_t *beat = NULL;
+    const BkPlatRow *term_row = NULL;
 
     if (reply->status != BK_OK) {
         BkLease_OnFailed(&steward->lease, BkClock_Now());
@@ -61,35 +106,30 @@
     for (int i = 0; i < reply->count; i++) {
         const BkPlatRow *row = &reply->rows[i];
         if (BkStr_Equal(row->key, BK_STR("term"))) {
-            term = json_loadb(row->data.ptr, row->data.len, 0, NULL);
-            rows.term_version = row->version;
+            term_row = row;
         }
         else if (BkStr_Equal(row->key, BK_STR("beat"))) {
-            beat = json_loadb(row->data.ptr, row->data.len, 0, NULL);
-            rows.beat_version = row->version;
+            decode_beat(steward, row);
         }
         else if (BkStr_Equal(row->key, BK_STR("progress"))) {
             BkProgress_ApplyRow(steward, row->data);
         }
     }
-    rows.term = get_uint(term, "term");
-    rows.epoch = get_uint(term, "epoch");
-    rows.holder = get_text(term, "holder");
-    rows.resigned = beat != NULL && get_text(beat, "holder")[0] == '\0' &&
-                    get_uint(beat, "term") == rows.term;
-    steward->claim_reason = rows.term == 0  ? "there was no planner yet"
-                            : rows.resigned ? "the planner gave its term up"
-                                            : "the planner's lease had lapsed";
-    BkLease_OnRowsRead(&steward->lease, &rows, BkClock_Now());
-    json_decref(term);
-    json_decref(beat);
+    /* "term" is the last one of the rows that are needed */
+    if (reply->has_more &&
+        BkStr_Compare(reply->last_key, BK_STR("term")) < 0) {
+        read_page(steward, reply->last_key);
+        return;
+    }
+    apply_rows(steward, term_row);
 }
 
 static void
 read_rows(BkSteward *steward)
 {
-    BkPlat_ListRows(steward->daemon->plat, BK_STR("planner"), BK_STR(""),
-                    BK_STR(""), MAX_PLANNER_ROWS, on_rows_read, steward);
+    steward->rows = (BkLeaseRows){.holder = ""};
+    steward->released_term = 0;
+    read_page(steward, BK_STR(""));
 }
 
 static void
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -59,3 +59,11 @@
     daemons = start(world)
     write_entries(world, "ledger", name_entries(["!" + "k" * 900], 900))
     check_restart(world, daemons)
+
+
+@case
+def foreign_entries_in_the_planner_table(world):
+    """The planner's rows are not on the first page of their table."""
+    daemons = start(world)
+    write_entries(world, "planner", name_entries(["!", "c", "q"], 600))
+    check_restart(world, daemons)
--- a/tests/proof/harness.py
+++ b/tests/proof/harness.py
@@ -410,6 +410,12 @@
         return self.daemon(name, "src/steward/bk-steward", "steward",
                            settings, domain)
 
+    def row(self, table, key):
+        """The data of a row of the platform; {} if there is none."""
+        status, _, body = request(self.platform.addr, "GET",
+                                  "/v1/row?t=%s&k=%s" % (table, key))
+        return json.loads(json.loads(body)["d"]) if status == 200 else {}
+
     def rows(self, table):
         """The rows of a table of the platform, as {key: data}."""
         body = request(self.platform.addr, "GET",
--- a/tests/proof/planner.py
+++ b/tests/proof/planner.py
@@ -21,7 +21,7 @@
 
 
 def term(world):
-    return world.rows("planner").get("term", {"term": 0})
+    return world.row("planner", "term") or {"term": 0}
 
 
 def planner(world):
@@ -36,7 +36,7 @@
 
 
 def progress(world):
-    return world.rows("planner").get("progress", {})
+    return world.row("planner", "progress")
 
 
 def await_rolled(world, allow_unsettled=True):
