watch: read all pages of the drains

An upstream that operators had drained went on to get requests and loads if 500 rows of another writer came before its own.

Cause: only the first page of the table was read.

Change: the list continues until it ends, and counts as read when its first page was asked for; another one does not begin before that.

Not changed: gossip names 32 drains at most, so beside more entries than that a daemon learns of drains from the platform only.

Evidence: foreign_entries_among_the_drains (1,300 entries) failed before ("never came: engine-0 is not" used, 5 s) and passes; leaving passes.

--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -18,7 +18,7 @@
     FIRST_POLLS_MS = 50, /* pause between batches of first polls */
     POLL_TIMEOUT_MS = 1000,
     MAX_STATE_BYTES = 256 * 1024,
-    MAX_DRAINS = 500,
+    DRAINS_PER_PAGE = 500,
     LIST_READERS = 8, /* daemons that read a list in one vm_poll_period */
     URL_BYTES = 128
 };
@@ -48,6 +48,9 @@
     BkMs drains_read_at; /* start of the read that returned them, by this or
                             another daemon; BK_MS_NEVER: not yet */
     BkMs drains_read_started_at; /* start of the own read in flight */
+    bool reading_drains;         /* it has not ended */
+    uint32_t *read_hashes;       /* what it has returned so far */
+    int read_count;
 };
 
 struct Poll {
@@ -318,19 +321,37 @@
     update_exclusions(watch);
 }
 
+static void on_drains_read(const BkPlatReply *reply, void *arg);
+
+static void
+read_drains_page(BkUpstreamWatch *watch, BkStr after_key)
+{
+    BkPlat_ListRows(watch->daemon->plat, BK_STR("drain"), BK_STR(""),
+                    after_key, DRAINS_PER_PAGE, on_drains_read, watch);
+}
+
 static void
 on_drains_read(const BkPlatReply *reply, void *arg)
 {
     BkUpstreamWatch *watch = arg;
-    uint32_t name_hashes[MAX_DRAINS];
 
     if (reply->status != BK_OK && reply->status != BK_ENOTFOUND) {
+        watch->reading_drains = false;
         return;
     }
+    watch->read_hashes = BkMem_Grow(
+        watch->read_hashes, (size_t)(watch->read_count + reply->count) + 1,
+        sizeof(uint32_t));
     for (int i = 0; i < reply->count; i++) {
-        name_hashes[i] = BkBundle_NameHash(reply->rows[i].key);
+        watch->read_hashes[watch->read_count++] =
+            BkBundle_NameHash(reply->rows[i].key);
     }
-    BkUpstreamWatch_ApplyDrains(watch, name_hashes, reply->count,
+    if (reply->has_more) {
+        read_drains_page(watch, reply->last_key);
+        return;
+    }
+    watch->reading_drains = false;
+    BkUpstreamWatch_ApplyDrains(watch, watch->read_hashes, watch->read_count,
                                 watch->drains_read_started_at);
 }
 
@@ -373,9 +394,13 @@
     BkUpstreamWatch *watch = arg;
 
     BkTimer_Start(watch->drains_timer, shared_period(watch));
+    if (watch->reading_drains) {
+        return;
+    }
+    watch->reading_drains = true;
+    watch->read_count = 0;
     watch->drains_read_started_at = BkClock_Now();
-    BkPlat_ListRows(watch->daemon->plat, BK_STR("drain"), BK_STR(""),
-                    BK_STR(""), MAX_DRAINS, on_drains_read, watch);
+    read_drains_page(watch, BK_STR(""));
 }
 
 BkUpstreamWatch *
@@ -405,6 +430,7 @@
         free_poll(watch->polls);
     }
     free(watch->drained);
+    free(watch->read_hashes);
     for (int i = 0; i < watch->vm_count; i++) {
         free(watch->vms[i].name);
     }
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -67,3 +67,24 @@
     daemons = start(world)
     write_entries(world, "planner", name_entries(["!", "c", "q"], 600))
     check_restart(world, daemons)
+
+
+@case
+def foreign_entries_among_the_drains(world):
+    """An upstream whose drain is not on the first page gets no work."""
+    for n in range(2):
+        world.engine("engine-%d" % n, load_ms=50)
+    write_entries(world, "drain", name_entries(["!", "z"], 1300))
+    set_versions(world, 1, ["care"])
+    caller = world.caller()
+    world.roll()
+    world.ctl("drain", "engine-0", "--why", "proof")
+    stewards(world)
+    entry = world.entry()
+    await_rolled(world)
+    world.await_ready(entry)
+    wait("engine-1 is used", lambda: entry.can_use("engine-1"))
+    wait("engine-0 is not", lambda: not entry.can_use("engine-0"), 5)
+    check(caller.complete(entry, "care", "x", 1).outcome == "done",
+          "not served")
+    check(not world.fakes[0].journal("run"), "engine-0 got work")
