ctl: show the other drains beside a row that cannot be decoded

One row of another writer in the table of drains made bkctl status fail as a whole.

Cause: the first row that cannot be decoded ended the list with its error.

Change: such a row is shown with the error as its reason. It is not left out, since daemons look at the key alone and take its upstream as drained.

Evidence: foreign_entries_in_status (10 rows beside a drain) failed before and passes.

--- a/src/ctl/overview.c
+++ b/src/ctl/overview.c
@@ -158,8 +158,10 @@
         drains->list = BkMem_New((size_t)rows.count, sizeof(BkDrainRow));
     }
     for (int i = 0; i < rows.count && status == BK_OK; i++) {
-        status =
-            BkDrainRow_Decode(&drains->list[drains->count++], &rows.rows[i]);
+        BkDrainRow *drain = &drains->list[drains->count++];
+        if (BkDrainRow_Decode(drain, &rows.rows[i]) != BK_OK) {
+            BkDrainRow_SetUnreadable(drain, &rows.rows[i]);
+        }
     }
     BkCtlRows_Clear(&rows);
     return status;
--- a/src/ctl/rows.c
+++ b/src/ctl/rows.c
@@ -162,6 +162,16 @@
     return BK_OK;
 }
 
+void
+BkDrainRow_SetUnreadable(BkDrainRow *out, const BkCtlRow *row)
+{
+    *out = (BkDrainRow){.row_version = row->version,
+                        .age = row->age,
+                        .upstream = dup_text(row->key),
+                        .by = dup_text("?"),
+                        .why = dup_text(BkErr_Last())};
+}
+
 void
 BkDrainRow_Encode(const BkDrainRow *row, BkBuf *out)
 {
--- a/src/ctl/rows.h
+++ b/src/ctl/rows.h
@@ -89,6 +89,10 @@
 BkStatus BkProgressRow_Decode(BkProgressRow *out, const BkCtlRow *row);
 BkStatus BkTermRow_Decode(BkTermRow *out, const BkCtlRow *row);
 
+/* The row of a drain cannot be decoded: shows the last error as its reason.
+ * Daemons look at the key alone, so the drain holds all the same. */
+void BkDrainRow_SetUnreadable(BkDrainRow *out, const BkCtlRow *row);
+
 void BkInForceRow_Clear(BkInForceRow *row);
 void BkAuditRow_Clear(BkAuditRow *row);
 void BkDrainRow_Clear(BkDrainRow *row);
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -88,3 +88,22 @@
     check(caller.complete(entry, "care", "x", 1).outcome == "done",
           "not served")
     check(not world.fakes[0].journal("run"), "engine-0 got work")
+
+
+def check_drain_is_shown(world, count):
+    """bkctl status shows a drain among so many entries."""
+    world.engine("engine-0", load_ms=50)
+    world.model("care")
+    world.roll()
+    write_entries(world, "drain", name_entries(["!"], count))
+    world.ctl("drain", "engine-0", "--why", "belt swap")
+    entry = world.entry()
+    world.await_ready(entry)
+    shown = world.ctl("status")
+    check("belt swap" in shown, "%s", shown)
+
+
+@case
+def foreign_entries_in_status(world):
+    """Entries that cannot be decoded do not hide the others."""
+    check_drain_is_shown(world, 10)
