ctl: list all pages of the drains

What operators saw: nothing yet; found by looking for the cause of the incident in the other lists. bkctl status and the hand-over showed no drain behind the first 500 rows of the table.

Cause: one page was read.

Change: the list continues until it ends (BkCtl_ListAllRows). The flag that a list has more was set and never read; it is gone.

Evidence: foreign_entries_in_status_fill_pages (1,300 rows before the drain) failed before and passes.

--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -6,27 +6,29 @@
 
 enum {
     MAX_RESPONSE_BYTES = 2 * 1024 * 1024,
-    MAX_LOOP_WAIT_MS = 100
+    MAX_LOOP_WAIT_MS = 100,
+    ROWS_PER_PAGE = 500
 };
 
 /* The platform call in progress. */
 typedef struct PlatformCall {
     bool done;
     BkStatus status;
-    BkCtlRows *rows; /* receives copies of the rows; may be NULL */
-    BkBuf *body;     /* receives a copy of the body; may be NULL */
+    BkCtlRows *rows; /* copies of the rows are appended to it; may be NULL */
+    BkBuf *last_key; /* receives that of a page; may be NULL */
+    bool has_more;
+    BkBuf *body; /* receives a copy of the body; may be NULL */
 } PlatformCall;
 
 static void
 copy_rows(const BkPlatReply *reply, BkCtlRows *out)
 {
-    out->rows = BkMem_New((size_t)reply->count, sizeof(BkCtlRow));
-    out->count = reply->count;
-    out->more = reply->has_more;
+    out->rows = BkMem_Grow(out->rows, (size_t)(out->count + reply->count) + 1,
+                           sizeof(BkCtlRow));
     for (int i = 0; i < reply->count; i++) {
         const BkPlatRow *row = &reply->rows[i];
-        out->rows[i] = (BkCtlRow){BkStr_Dup(row->key), row->version, row->age,
-                                  BkStr_Dup(row->data)};
+        out->rows[out->count++] = (BkCtlRow){BkStr_Dup(row->key), row->version,
+                                             row->age, BkStr_Dup(row->data)};
     }
 }
 
@@ -40,6 +42,11 @@
     if (call->rows != NULL) {
         copy_rows(reply, call->rows);
     }
+    call->has_more = reply->has_more;
+    if (call->last_key != NULL) {
+        BkBuf_Clear(call->last_key);
+        BkBuf_Append(call->last_key, reply->last_key);
+    }
     if (call->body != NULL) {
         BkBuf_Clear(call->body);
         BkBuf_Append(call->body, reply->body);
@@ -123,6 +130,25 @@
     return wait_for_call(ctl, &call);
 }
 
+BkStatus
+BkCtl_ListAllRows(BkCtl *ctl, BkStr table, BkCtlRows *rows)
+{
+    BkBuf last_key = BkBuf_Make(0);
+    BkStatus status;
+    bool has_more;
+
+    *rows = (BkCtlRows){0};
+    do {
+        PlatformCall call = {.rows = rows, .last_key = &last_key};
+        BkPlat_ListRows(ctl->plat, table, BK_STR(""), BkBuf_Str(&last_key),
+                        ROWS_PER_PAGE, on_reply, &call);
+        status = wait_for_call(ctl, &call);
+        has_more = call.has_more;
+    } while (status == BK_OK && has_more);
+    BkBuf_Destroy(&last_key);
+    return status;
+}
+
 BkStatus
 BkCtl_Commit(BkCtl *ctl, const BkTxn *txn)
 {
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -19,7 +19,6 @@
 typedef struct BkCtlRows {
     BkCtlRow *rows;
     int count;
-    bool more; /* the list has further rows after the last one */
 } BkCtlRows;
 
 void BkCtlRow_Clear(BkCtlRow *row);
@@ -32,6 +31,9 @@
 BkStatus BkCtl_ListRows(BkCtl *ctl, BkStr table, BkStr after, int limit,
                         BkCtlRows *rows);
 
+/* Reads all rows of a table, page by page. ERRORS: as above. */
+BkStatus BkCtl_ListAllRows(BkCtl *ctl, BkStr table, BkCtlRows *rows);
+
 /* Commits a transaction. ERRORS: BK_ECONFLICT, BK_EPLATFORM (not carried
  * out), BK_EUNKNOWN. */
 BkStatus BkCtl_Commit(BkCtl *ctl, const BkTxn *txn);
--- a/src/ctl/overview.c
+++ b/src/ctl/overview.c
@@ -5,10 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum {
-    MAX_DRAINS = 500
-};
-
 static char *
 dup_member(json_t *object, const char *member)
 {
@@ -151,8 +147,7 @@
 read_drains(BkCtl *ctl, BkDrainList *drains)
 {
     BkCtlRows rows;
-    BkStatus status =
-        BkCtl_ListRows(ctl, BK_STR("drain"), BK_STR(""), MAX_DRAINS, &rows);
+    BkStatus status = BkCtl_ListAllRows(ctl, BK_STR("drain"), &rows);
 
     if (status == BK_OK) {
         drains->list = BkMem_New((size_t)rows.count, sizeof(BkDrainRow));
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -107,3 +107,9 @@
 def foreign_entries_in_status(world):
     """Entries that cannot be decoded do not hide the others."""
     check_drain_is_shown(world, 10)
+
+
+@case
+def foreign_entries_in_status_fill_pages(world):
+    """Nor do those that fill the first pages."""
+    check_drain_is_shown(world, 1300)
