watch: read the other VMs beside one with an unreadable name

While one name in the platform's list of VMs held NUL or a lone surrogate, bk-entry and bk-steward learned of no VM that was leaving or gone, and went on to use it.

A VM whose name or state cannot be read is ignored, with a line in the log.

Evidence: unreadable_names_among_the_vms failed before ("never came: engine-0 is not" used, 5 s) and passes; leaving passes.

--- a/src/daemon/watch.c
+++ b/src/daemon/watch.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bk/base/log.h"
+#include "bk/base/utf8.h"
 #include "bk/daemon/internal.h"
 
 /*
@@ -265,22 +266,28 @@
     BkUpstreamWatch *watch = arg;
     size_t i;
     json_t *row;
+    bool repaired;
 
     if (reply->status != BK_OK) {
         return;
     }
-    json_t *root = json_loadb(reply->body.ptr, reply->body.len, 0, NULL);
+    json_t *root = BkUtf8_LoadJson(reply->body, &repaired);
     json_t *list = json_object_get(root, "vms");
     if (json_is_array(list)) {
         watch->list_number++;
         json_array_foreach(list, i, row)
         {
-            const char *name = json_string_value(json_object_get(row, "name"));
+            const json_t *name = json_object_get(row, "name");
             const char *state =
                 json_string_value(json_object_get(row, "state"));
-            if (name != NULL && state != NULL) {
-                apply_vm(watch, name, strcmp(state, "leaving") == 0);
+            if (!json_is_string(name) || state == NULL ||
+                (repaired && BkUtf8_WasRepaired(name))) {
+                BK_LOG(BK_LOG_WARNING, "daemon", NULL,
+                       "ignored a VM whose name or state cannot be read");
+                continue;
             }
+            apply_vm(watch, json_string_value(name),
+                     strcmp(state, "leaving") == 0);
         }
         mark_unlisted(watch, BkClock_Now());
         update_exclusions(watch);
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -2,10 +2,13 @@
 The daemons are restarted while the entries are there: they are ignored, and
 the other entries are used.
 """
+import contextlib
 import json
+import socket
 
 from basics import case, check, request, wait
 from case_front_foreign_entries import name_entries
+from harness import Relay
 from planner import await_rolled, set_versions, stewards
 
 VALUES = ["", "{}", "text", "[]", '{"term": "x"}']
@@ -113,3 +116,34 @@
 def foreign_entries_in_status_fill_pages(world):
     """Nor do those that fill the first pages."""
     check_drain_is_shown(world, 1300)
+
+
+class RenamingRelay(Relay):
+    """Changes a name in what comes from its target."""
+
+    old, new = b"RENAME", b"\\u0000"  # of the same length
+
+    def pump(self, remaining, direction, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(65536):
+                sink.sendall(data.replace(self.old, self.new))
+        for side in (source, sink):
+            with contextlib.suppress(OSError):
+                side.shutdown(socket.SHUT_RDWR)
+
+
+@case
+def unreadable_names_among_the_vms(world):
+    """The VM of an engine is leaving; the name of another one holds NUL."""
+    for n in range(2):
+        world.engine("engine-%d" % n).load("care")
+    world.model("care")
+    world.roll()
+    relay = RenamingRelay(world.platform.addr)
+    entry = world.entry(platform_address=relay.addr)
+    world.await_ready(entry)
+    wait("both are used", lambda: all(
+        entry.can_use("engine-%d" % n) for n in range(2)))
+    world.platform.set(vms={"RENAME": "live", "engine-0": "leaving"})
+    wait("engine-0 is not", lambda: not entry.can_use("engine-0"), 5)
+    check(entry.can_use("engine-1"), "engine-1 is not used either")
--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -1,6 +1,6 @@
-"""Entries that another writer leaves in the lists of the store. All daemons die
-and are restarted while the entries are there: they are ignored, and the other
-entries are used.
+"""Entries that another writer leaves in the lists of the store. All daemons are
+killed and restarted while the entries are there: they are ignored, and the
+other entries are used.
 """
 import itertools
 import time
