ctl: list the audit entries among rows of other writers

What operators saw: nothing yet; found by looking for the cause of the incident in the other lists. One row of another writer among the audit entries made bkctl log, status and the search for an earlier roll fail.

Cause: each row of a page counted as an audit entry.

Change: rows whose keys are not those of audit entries are left out, and the list continues until it has as many entries as were asked for. An entry under such a key that cannot be decoded is still an error that names it.

Evidence: foreign_entries_in_the_audit (1,300 rows) failed before ("row audit/% cannot be decoded") and passes.

--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -151,25 +151,55 @@
     }
 }
 
+/* Keys of other writers are no numbers. */
+static bool
+is_audit_key(const char *key)
+{
+    return strlen(key) == BK_CTL_AUDIT_KEY_SIZE - 1 &&
+           strspn(key, "0123456789abcdef") == BK_CTL_AUDIT_KEY_SIZE - 1;
+}
+
+/* Appends the audit entries among the rows, as long as there are fewer than
+   max. */
+static BkStatus
+append_audit(const BkCtlRows *rows, int max, BkAuditList *list)
+{
+    BkStatus status = BK_OK;
+
+    for (int i = 0; i < rows->count && list->count < max && status == BK_OK;
+         i++) {
+        if (is_audit_key(rows->rows[i].key)) {
+            status =
+                BkAuditRow_Decode(&list->rows[list->count++], &rows->rows[i]);
+        }
+    }
+    return status;
+}
+
 BkStatus
 BkCtl_ListAudit(BkCtl *ctl, uint64_t first, int max, BkAuditList *list)
 {
     char after[BK_CTL_AUDIT_KEY_SIZE] = "";
     BkCtlRows rows;
+    BkStatus status;
+    BkBuf position = BkBuf_Make(0);
 
-    *list = (BkAuditList){0};
+    *list = (BkAuditList){.rows = BkMem_New((size_t)max, sizeof(BkAuditRow))};
     if (first > 1) {
         make_audit_key(first - 1, after);
     }
-    BkStatus status =
-        BkCtl_ListRows(ctl, BK_STR("audit"), BkStr_FromC(after), max, &rows);
-    if (status == BK_OK) {
-        list->rows = BkMem_New((size_t)rows.count, sizeof(BkAuditRow));
-    }
-    for (int i = 0; i < rows.count && status == BK_OK; i++) {
-        status = BkAuditRow_Decode(&list->rows[list->count++], &rows.rows[i]);
-    }
-    BkCtlRows_Clear(&rows);
+    BkBuf_Append(&position, BkStr_FromC(after));
+    do {
+        status = BkCtl_ListRows(ctl, BK_STR("audit"), BkBuf_Str(&position),
+                                max, &rows);
+        if (status == BK_OK) {
+            status = append_audit(&rows, max, list);
+        }
+        BkBuf_Clear(&position);
+        BkBuf_Append(&position, BkBuf_Str(&rows.last_key));
+        BkCtlRows_Clear(&rows);
+    } while (status == BK_OK && position.len > 0 && list->count < max);
+    BkBuf_Destroy(&position);
     return status;
 }
 
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -15,9 +15,7 @@
     bool done;
     BkStatus status;
     BkCtlRows *rows; /* copies of the rows are appended to it; may be NULL */
-    BkBuf *last_key; /* receives that of a page; may be NULL */
-    bool has_more;
-    BkBuf *body; /* receives a copy of the body; may be NULL */
+    BkBuf *body;     /* receives a copy of the body; may be NULL */
 } PlatformCall;
 
 static void
@@ -30,6 +28,8 @@
         out->rows[out->count++] = (BkCtlRow){BkStr_Dup(row->key), row->version,
                                              row->age, BkStr_Dup(row->data)};
     }
+    BkBuf_Clear(&out->last_key);
+    BkBuf_Append(&out->last_key, reply->last_key);
 }
 
 static void
@@ -42,11 +42,6 @@
     if (call->rows != NULL) {
         copy_rows(reply, call->rows);
     }
-    call->has_more = reply->has_more;
-    if (call->last_key != NULL) {
-        BkBuf_Clear(call->last_key);
-        BkBuf_Append(call->last_key, reply->last_key);
-    }
     if (call->body != NULL) {
         BkBuf_Clear(call->body);
         BkBuf_Append(call->body, reply->body);
@@ -95,6 +90,7 @@
         BkCtlRow_Clear(&rows->rows[i]);
     }
     free(rows->rows);
+    BkBuf_Destroy(&rows->last_key);
     *rows = (BkCtlRows){0};
 }
 
@@ -133,19 +129,16 @@
 BkStatus
 BkCtl_ListAllRows(BkCtl *ctl, BkStr table, BkCtlRows *rows)
 {
-    BkBuf last_key = BkBuf_Make(0);
     BkStatus status;
-    bool has_more;
 
     *rows = (BkCtlRows){0};
     do {
-        PlatformCall call = {.rows = rows, .last_key = &last_key};
-        BkPlat_ListRows(ctl->plat, table, BK_STR(""), BkBuf_Str(&last_key),
-                        ROWS_PER_PAGE, on_reply, &call);
+        PlatformCall call = {.rows = rows};
+        BkPlat_ListRows(ctl->plat, table, BK_STR(""),
+                        BkBuf_Str(&rows->last_key), ROWS_PER_PAGE, on_reply,
+                        &call);
         status = wait_for_call(ctl, &call);
-        has_more = call.has_more;
-    } while (status == BK_OK && has_more);
-    BkBuf_Destroy(&last_key);
+    } while (status == BK_OK && rows->last_key.len > 0);
     return status;
 }
 
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -19,13 +19,14 @@
 typedef struct BkCtlRows {
     BkCtlRow *rows;
     int count;
+    BkBuf last_key; /* of the page, if the list has more; else empty */
 } BkCtlRows;
 
 void BkCtlRow_Clear(BkCtlRow *row);
 void BkCtlRows_Clear(BkCtlRows *rows);
 
-/* Read one row, or at most limit rows whose keys are greater than after, in
- * key order. Reading a row that does not exist succeeds with version 0.
+/* Read one row, or a page of at most limit rows whose keys are greater than
+ * after, in key order. Reading a row that does not exist succeeds with version 0.
  * ERRORS: BK_EPLATFORM, BK_EDECODE. */
 BkStatus BkCtl_ReadRow(BkCtl *ctl, BkStr table, BkStr key, BkCtlRow *row);
 BkStatus BkCtl_ListRows(BkCtl *ctl, BkStr table, BkStr after, int limit,
--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -118,6 +118,21 @@
     check_drain_is_shown(world, 1300)
 
 
+@case
+def foreign_entries_in_the_audit(world):
+    """Before, among and behind the entries of operators."""
+    world.engine("engine-0", load_ms=50)
+    world.model("care")
+    world.roll()
+    write_entries(world, "audit", name_entries(
+        ["!", "z", *["%016x" % n for n in range(1, 6)]], 1300))
+    reasons = ["reason %d" % n for n in range(4)]
+    for n, reason in enumerate(reasons):
+        world.ctl("undrain" if n % 2 else "drain", "engine-0", "--why", reason)
+    shown = world.ctl("log", "--last", "3")
+    check([x for x in reasons if x in shown] == reasons[1:], "%s", shown)
+
+
 class RenamingRelay(Relay):
     """Changes a name in what comes from its target."""
 
