--- a/tests/proof/case_front_foreign_entries.py
+++ b/tests/proof/case_front_foreign_entries.py
@@ -131,6 +131,14 @@
                   page=2, suffixes=["\x00", "\ud800", "\ufdd0\ud800"])
 
 
+@case
+def foreign_entries_before_the_configuration(world):
+    """The configuration is not on the first page of its table."""
+    store, _, fleet = start(world)
+    write_entries(store, "op", name_entries(["!", "d"], 2 * LONG_LIST))
+    check_restart(fleet)
+
+
 def check_own_table(world, table, prefixes):
     """The engines restart too, without models."""
     store, engines, fleet = start(world)
