proof: ask for a model once the entry knows its copy

Traced: the copy was ready at 39.44 s, the version rolled at 39.59 s, and the entry, asked at 39.60 s, had not polled the engine since ("ENOTREADY: no ready copy can be reached"). The case waited until the engine is used, not until its copy is known. What it checks is the same.

--- a/tests/proof/case_foreign_entries.py
+++ b/tests/proof/case_foreign_entries.py
@@ -86,7 +86,7 @@
     entry = world.entry()
     await_rolled(world)
     world.await_ready(entry)
-    wait("engine-1 is used", lambda: entry.can_use("engine-1"))
+    wait("the copy is known", lambda: entry.can_use("engine-1", ["care@1"]))
     wait("engine-0 is not", lambda: not entry.can_use("engine-0"), 5)
     check(caller.complete(entry, "care", "x", 1).outcome == "done",
           "not served")
