base, ctl: name the place in a list, read later audit pages whole

BkUtf8_AppendBound is BkUtf8_AppendPlace; nothing else changes there. Once the first page of the audit has held rows of other writers, the next ones are read by 500 rows, not by as few as entries were asked for. The units and foreign_entries pass.

--- a/include/bk/base/utf8.h
+++ b/include/bk/base/utf8.h
@@ -38,12 +38,11 @@
 bool BkUtf8_WasRepaired(const json_t *string);
 
 /*
- * Appends where to go on after this string in a list that is sorted by bytes:
- * the string as it was sent. If that holds a single surrogate, which UTF-8 does
- * not have, U+E000 stands for it and what follows: only strings that hold one
- * lie between the two. repaired: as BkUtf8_LoadJson set it for the text of the
- * string.
+ * Appends the place of a string in a list that is sorted by bytes: the string
+ * as it was sent. From a single surrogate on, which UTF-8 does not have, U+E000
+ * stands for the rest: only strings with a single surrogate lie between.
+ * repaired: as BkUtf8_LoadJson set it for the text that has the string.
  */
-void BkUtf8_AppendBound(BkBuf *out, const json_t *string, bool repaired);
+void BkUtf8_AppendPlace(BkBuf *out, const json_t *string, bool repaired);
 
 #endif
--- a/src/base/utf8.c
+++ b/src/base/utf8.c
@@ -235,7 +235,7 @@
 }
 
 void
-BkUtf8_AppendBound(BkBuf *out, const json_t *string, bool repaired)
+BkUtf8_AppendPlace(BkBuf *out, const json_t *string, bool repaired)
 {
     BkStr text = {json_string_value(string), json_string_length(string)};
     const char *mark;
--- a/src/ctl/change.c
+++ b/src/ctl/change.c
@@ -183,6 +183,7 @@
     BkCtlRows rows;
     BkStatus status;
     BkBuf position = BkBuf_Make(0);
+    int limit = max;
 
     *list = (BkAuditList){.rows = BkMem_New((size_t)max, sizeof(BkAuditRow))};
     if (first > 1) {
@@ -191,13 +192,14 @@
     BkBuf_Append(&position, BkStr_FromC(after));
     do {
         status = BkCtl_ListRows(ctl, BK_STR("audit"), BkBuf_Str(&position),
-                                max, &rows);
+                                limit, &rows);
         if (status == BK_OK) {
             status = append_audit(&rows, max, list);
         }
         BkBuf_Clear(&position);
         BkBuf_Append(&position, BkBuf_Str(&rows.last_key));
         BkCtlRows_Clear(&rows);
+        limit = BK_CTL_PAGE_ROWS; /* the rows so far were of others */
     } while (status == BK_OK && position.len > 0 && list->count < max);
     BkBuf_Destroy(&position);
     return status;
--- a/src/ctl/client.c
+++ b/src/ctl/client.c
@@ -6,8 +6,7 @@
 
 enum {
     MAX_RESPONSE_BYTES = 2 * 1024 * 1024,
-    MAX_LOOP_WAIT_MS = 100,
-    ROWS_PER_PAGE = 500
+    MAX_LOOP_WAIT_MS = 100
 };
 
 /* The platform call in progress. */
@@ -135,7 +134,7 @@
     do {
         PlatformCall call = {.rows = rows};
         BkPlat_ListRows(ctl->plat, table, BK_STR(""),
-                        BkBuf_Str(&rows->last_key), ROWS_PER_PAGE, on_reply,
+                        BkBuf_Str(&rows->last_key), BK_CTL_PAGE_ROWS, on_reply,
                         &call);
         status = wait_for_call(ctl, &call);
     } while (status == BK_OK && rows->last_key.len > 0);
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -9,6 +9,10 @@
 
 #include "ctl.h"
 
+enum {
+    BK_CTL_PAGE_ROWS = 500 /* at most in one page of a list */
+};
+
 typedef struct BkCtlRow {
     char *key;
     uint64_t version; /* 0: the row does not exist */
@@ -26,8 +30,8 @@
 void BkCtlRows_Clear(BkCtlRows *rows);
 
 /* Read one row, or a page of at most limit rows whose keys are greater than
- * after, in key order. Reading a row that does not exist succeeds with version 0.
- * ERRORS: BK_EPLATFORM, BK_EDECODE. */
+ * after, in key order. Reading a row that does not exist succeeds with
+ * version 0. ERRORS: BK_EPLATFORM, BK_EDECODE. */
 BkStatus BkCtl_ReadRow(BkCtl *ctl, BkStr table, BkStr key, BkCtlRow *row);
 BkStatus BkCtl_ListRows(BkCtl *ctl, BkStr table, BkStr after, int limit,
                         BkCtlRows *rows);
--- a/src/platform/platform.c
+++ b/src/platform/platform.c
@@ -182,7 +182,7 @@
     if (count == 0) {
         return false;
     }
-    BkUtf8_AppendBound(
+    BkUtf8_AppendPlace(
         out, json_object_get(json_array_get(list, count - 1), "k"), repaired);
     return true;
 }
--- a/tests/fuzz/fuzz_utf8.c
+++ b/tests/fuzz/fuzz_utf8.c
@@ -43,7 +43,7 @@
         __builtin_trap();
     }
     BkBuf_Clear(&text);
-    BkUtf8_AppendBound(&text, odd, repaired);
+    BkUtf8_AppendPlace(&text, odd, repaired);
     if (!BkStr_Equal(BkBuf_Str(&text), (BkStr){key, size})) {
         __builtin_trap();
     }
--- a/tests/unit/test_utf8.c
+++ b/tests/unit/test_utf8.c
@@ -73,16 +73,16 @@
 #define AFTER_SURROGATES "\xee\x80\x80"
 #define NONCHARACTER "\xef\xb7\x90" /* U+FDD0 */
 
-typedef struct Bound {
+typedef struct Place {
     const char *json;
     BkStr expected;
-} Bound;
+} Place;
 
 /* Where a list goes on after a key: at the key itself, or after all keys that
    begin like it and then hold a single surrogate. */
-START_TEST(test_bounds)
+START_TEST(test_places)
 {
-    static const Bound bounds[] = {
+    static const Place places[] = {
         {"a b&c", BK_STR("a b&c")},
         {"a\\\\u0000", BK_STR("a\\u0000")},
         {"\\u0000", BK_STR("\0")},
@@ -98,15 +98,15 @@
         {"\\ufdd0\\u0000", BK_STR(NONCHARACTER "\0")},
     };
 
-    for (size_t i = 0; i < sizeof(bounds) / sizeof(bounds[0]); i++) {
+    for (size_t i = 0; i < sizeof(places) / sizeof(places[0]); i++) {
         BkBuf text = BkBuf_Make(0);
         bool repaired;
-        BkBuf_Printf(&text, "[\"%s\"]", bounds[i].json);
+        BkBuf_Printf(&text, "[\"%s\"]", places[i].json);
         json_t *list = BkUtf8_LoadJson(BkBuf_Str(&text), &repaired);
         BkBuf_Clear(&text);
-        BkUtf8_AppendBound(&text, json_array_get(list, 0), repaired);
-        ck_assert_msg(BkStr_Equal(BkBuf_Str(&text), bounds[i].expected), "%s",
-                      bounds[i].json);
+        BkUtf8_AppendPlace(&text, json_array_get(list, 0), repaired);
+        ck_assert_msg(BkStr_Equal(BkBuf_Str(&text), places[i].expected), "%s",
+                      places[i].json);
         json_decref(list);
         BkBuf_Destroy(&text);
     }
@@ -117,7 +117,7 @@
 main(void)
 {
     const TTest *const tests[] = {test_odd_strings_in_json, test_other_json,
-                                  test_bounds};
+                                  test_places};
 
     return BkUnit_Main("utf8", tests, 3);
 }
