--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,7 +2,7 @@
 still unanswered.
 
 Consumers each send a safe request and then, on the same channel, a POST with a
-body of 100,000 bytes, at 0.4 MB/s. One of the service's four replicas turns slow:
+body of 100,000 bytes, at 0.4 MB/s. One of seven replicas turns slow:
 there, the safe request is still at work when 64 KiB of the body have come.
 """
 import os
@@ -15,8 +15,8 @@
     Client, Server, Store, TROUBLE, answer, configure, route, run,
     start_fronts, together)
 
-ROUNDS, CLIENTS, SERVERS = 4, 24, 4
-WORK_S, SLOW_TIMES = 0.06, 5  # srv_slow, x = 5, one replica in four
+ROUNDS, CLIENTS, SERVERS = 5, 28, 7
+WORK_S, SLOW_TIMES = 0.06, 5  # srv_slow, x = 5, one replica in seven
 PIECE, PIECES, PAUSE_S = b"x" * 4000, 25, 0.01
 TIMEOUT_S = 3  # timeoutMs of both routes
 LATE_S = 0.5
