--- a/review/9/case.py
+++ b/review/9/case.py
@@ -67,6 +67,8 @@
     for n in range(SAFE_REQUESTS):
         client.ask("GET", "/fi50/2f", "c%015x" % n)
         served.append(client.read_answer()[0])
+    world.note("%d safe requests are answered: %s", len(served),
+               sorted(set(served)))
 
     def kill():
         time.sleep(KILL_AFTER_S)
--- a/review/standins-2/common.py
+++ b/review/standins-2/common.py
@@ -5,7 +5,6 @@
 command of deploy/system.toml. Settings, limits and bounds are those that the
 site macedo-varanda prints.
 """
-import contextlib
 import os
 import re
 import shutil
@@ -194,18 +193,20 @@
 
 
 def together(functions):
-    threads = [threading.Thread(target=x, daemon=True) for x in functions]
+    """Runs them at the same time; raises the first error of one of them."""
+    errors = []
+
+    def guarded(function):
+        try:
+            function()
+        except Exception as error:  # raised below
+            errors.append(error)
+
+    threads = [threading.Thread(target=guarded, args=(x,), daemon=True)
+               for x in functions]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-
-
-def ended(sock):
-    """Whether the channel has been closed by the other side."""
-    with contextlib.suppress(BlockingIOError):
-        try:
-            return sock.recv(1, 0x2 | 0x40) == b""  # MSG_PEEK, MSG_DONTWAIT
-        except ConnectionError:
-            return True
-    return False
+    if errors:
+        raise errors[0]
